--- /dev/null
+++ b/cmd/gaugerelay/main.go
@@ -0,0 +1,113 @@
+// Command gaugerelay is the gateway: it wires the parts together and handles signals.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	policy "opalpitch"
+
+	"opalpitch/internal/backend"
+	"opalpitch/internal/clock"
+	"opalpitch/internal/config"
+	"opalpitch/internal/discovery"
+	"opalpitch/internal/httpfront"
+	"opalpitch/internal/loop"
+	"opalpitch/internal/metrics"
+)
+
+const (
+	keepMs   = 250 // after SIGTERM connections are kept so long, then each answer closes its own
+	acceptMs = 600 // and new ones are accepted so long: clients learn of the stop with a delay
+)
+
+func main() {
+	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds)
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "gaugerelay:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	limit(cfg)
+	scheduler, err := policy.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sys, counts := clock.NewSystem(), metrics.New()
+	lp := loop.New(scheduler, sys, counts)
+	back := backend.New(backend.Options{ConnectMs: cfg.ConnectMs, ConnIdleMs: cfg.ConnIdleMs,
+		MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields}, sys, counts, lp)
+	watcher := discovery.New(cfg.Discovery, cfg.Known.Version, sys, counts, lp.Nodes)
+	lp.Watch, lp.Prober = func() { watcher.Start(ctx) }, back.Probe
+	go lp.Run(ctx)
+	lp.Nodes(cfg.Known)
+
+	var draining atomic.Bool
+	front := &httpfront.Front{Loop: lp, Carrier: back, Clock: sys, Metrics: counts, Settings: &cfg.Settings,
+		Draining: draining.Load}
+	server := &http.Server{Handler: front, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 5 * time.Minute,
+		MaxHeaderBytes: 16 << 10}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(netutil.LimitListener(ln, max(1, cfg.Sockets*3/8))) }()
+	log.Printf("%s: listening on %s", cfg.Name, cfg.Listen)
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				counts.Print(os.Stderr)
+				continue
+			}
+			log.Printf("%s: stopping", cfg.Name)
+			draining.Store(true)
+			time.Sleep(keepMs * time.Millisecond)
+			server.SetKeepAlivesEnabled(false)
+			time.Sleep((acceptMs - keepMs) * time.Millisecond)
+			server.Shutdown(context.Background()) // all that was taken gets its answer
+			counts.Print(os.Stderr)
+			return nil
+		}
+	}
+}
+
+// limit keeps the program inside what the platform gives it.
+func limit(cfg *config.Config) {
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Floor(cfg.Cores))))
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB * 0.75 * (1 << 20)))
+	}
+	if cfg.Sockets == 0 {
+		cfg.Sockets = 1024
+	}
+}
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,281 @@
+// Package backend carries attempts to storage nodes over HTTP and tells how each of them ended.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	policy "opalpitch"
+
+	"opalpitch/internal/clock"
+	"opalpitch/internal/core"
+	"opalpitch/internal/metrics"
+)
+
+// MaxBody bounds the bodies of requests and answers.
+const MaxBody = 64 << 10
+
+// Load is what a request sends to a node.
+type Load struct {
+	Method, Path, RawPath, RawQuery string
+	Header                          http.Header // passed on as it is
+	Body                            []byte
+}
+
+// Options are the limits of a Backend.
+type Options struct {
+	ConnectMs, ConnIdleMs float64
+	MaxConns              int      // connections open at once, to all nodes
+	ReportFields          []string // of X-Backend-Load, in order
+}
+
+// Backend sends attempts by http.Transport.
+type Backend struct {
+	opt       Options
+	clock     clock.Clock
+	metrics   *metrics.Set
+	finish    func(core.Attempt, core.Result)
+	probed    func(*core.Node, float64, policy.Status, []float64)
+	transport *http.Transport
+	conns     atomic.Int64
+}
+
+// Sink takes the ends of attempts and probes.
+type Sink interface {
+	Finish(core.Attempt, core.Result)
+	Probed(*core.Node, float64, policy.Status, []float64)
+}
+
+// New returns a backend.
+func New(opt Options, c clock.Clock, m *metrics.Set, sink Sink) *Backend {
+	b := &Backend{opt: opt, clock: c, metrics: m, finish: sink.Finish, probed: sink.Probed}
+	b.transport = &http.Transport{
+		DialContext:         b.dial,
+		DisableCompression:  true, // the body must pass unchanged
+		MaxIdleConnsPerHost: max(opt.MaxConns, 1),
+		// Under the machine's own idle time: what is written to a connection it has closed ends as a reset.
+		IdleConnTimeout:        clock.Duration(opt.ConnIdleMs * 0.6),
+		MaxResponseHeaderBytes: 16 << 10,
+	}
+	return b
+}
+
+// Close closes the idle connections.
+func (b *Backend) Close() { b.transport.CloseIdleConnections() }
+
+var errClosedNode = errors.New("the node drains or is gone")
+
+// try follows one attempt through the transport.
+type try struct {
+	node  *core.Node
+	wrote atomic.Bool // the transport has handed the whole request to the connection
+	broke atomic.Bool // but not all of it went out
+}
+
+// conn is a connection to a node. It carries one attempt at a time, and knows which.
+type conn struct {
+	net.Conn
+	back *Backend
+	try  atomic.Pointer[try]
+	shut atomic.Bool
+}
+
+func (b *Backend) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if b.conns.Add(1) > int64(b.opt.MaxConns) {
+		b.conns.Add(-1)
+		b.metrics.Add("connections_capped", 1)
+		return nil, errors.New("no more connections allowed")
+	}
+	d := net.Dialer{Timeout: clock.Duration(b.opt.ConnectMs), KeepAlive: -1}
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		b.conns.Add(-1)
+		return nil, err
+	}
+	b.metrics.Add("connections_opened", 1)
+	return &conn{Conn: c, back: b}, nil
+}
+
+// Write guards two rules. A drain counts from the first byte of a send, and the attempt may have waited for
+// this connection to come up; and an attempt has never run if its last byte was not written.
+func (c *conn) Write(p []byte) (int, error) {
+	t := c.try.Load()
+	if t != nil && t.node.Closed() {
+		t.broke.Store(true)
+		return 0, errClosedNode
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil && t != nil {
+		t.broke.Store(true)
+	}
+	return n, err
+}
+
+func (c *conn) Close() error {
+	if c.shut.CompareAndSwap(false, true) {
+		c.back.conns.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// onceBody is a body that cannot be rewound. The transport resends by itself, on another connection, what has
+// no body or can be rewound and is a GET or carries an Idempotency-Key; that attempt would be unknown to the
+// module. So even an empty body is one of these.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Start implements core.Carrier.
+func (b *Backend) Start(a core.Attempt) func() {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		// The body of an answer is read before this returns, so the context may end with it.
+		stop := b.clock.AfterFunc(a.DeadlineMs-b.clock.NowMs(), func() { cancel(context.DeadlineExceeded) })
+		defer stop()
+		defer cancel(nil)
+		b.finish(a, b.attempt(ctx, a))
+	}()
+	return func() { cancel(context.Canceled) }
+}
+
+// attempt runs one attempt to its end.
+func (b *Backend) attempt(ctx context.Context, a core.Attempt) core.Result {
+	load := a.Request.Load.(*Load)
+	t := &try{node: a.Node}
+	req := (&http.Request{
+		Method: load.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{Scheme: "http", Host: a.Node.Addr, Path: load.Path, RawPath: load.RawPath,
+			RawQuery: load.RawQuery},
+		Header: load.Header.Clone(), Host: "api.internal",
+		Body: onceBody{bytes.NewReader(load.Body)}, ContentLength: int64(len(load.Body)),
+	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { i.Conn.(*conn).try.Store(t) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if i.Err == nil {
+				t.wrote.Store(true)
+			}
+		},
+	}))
+	left := max(1, math.Floor(a.DeadlineMs-b.clock.NowMs()))
+	req.Header.Set("X-Time-Left-Ms", strconv.FormatFloat(left, 'f', 0, 64))
+	resp, err := b.transport.RoundTrip(req)
+	if err != nil {
+		return core.Result{Status: ended(ctx, t)}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	res := core.Result{}
+	b.told(&res, resp.Header)
+	switch {
+	case err != nil:
+		res.Status = ended(ctx, t)
+	case len(body) > MaxBody:
+		b.metrics.Add("node_answers_too_large", 1)
+		res.Status = policy.Error
+	case resp.StatusCode == http.StatusOK:
+		res.Status, res.Body = policy.OK, body
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Unprocessed") == "1":
+		res.Status = policy.Full
+	default:
+		res.Status = policy.Error
+	}
+	return res
+}
+
+// ended tells how an attempt without an answer ended.
+func ended(ctx context.Context, t *try) policy.Status {
+	whole := t.wrote.Load() && !t.broke.Load()
+	switch cause := context.Cause(ctx); {
+	case !whole && (cause == nil || !errors.Is(cause, context.Canceled)):
+		return policy.ConnectFailed
+	case errors.Is(cause, context.DeadlineExceeded):
+		return policy.TimedOut
+	case cause != nil:
+		return policy.Cancelled
+	}
+	return policy.Reset
+}
+
+// told takes in what an answer tells beside its body. What cannot be read is counted and left out.
+func (b *Backend) told(res *core.Result, h http.Header) {
+	number := func(name string) (float64, bool) {
+		text := h.Get(name)
+		if text == "" {
+			return 0, false
+		}
+		x, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(x >= 0 && x < 1e9) {
+			b.metrics.Add("node_bad_headers", 1)
+			return 0, false
+		}
+		return x, true
+	}
+	if use, ok := number("X-Volume-Use"); ok {
+		res.Use, res.HasUse = use/100, true
+	}
+	res.ForeignUnits, _ = number("X-Served-Elsewhere")
+	if text := h.Get("X-Backend-Load"); text != "" {
+		res.Report = b.report(text)
+	}
+}
+
+func (b *Backend) report(text string) []float64 {
+	v, err := fastjson.Parse(text)
+	if err != nil || v.Type() != fastjson.TypeObject {
+		b.metrics.Add("node_bad_headers", 1)
+		return nil
+	}
+	out := make([]float64, len(b.opt.ReportFields))
+	for i, f := range b.opt.ReportFields {
+		out[i] = v.GetFloat64(f)
+	}
+	return out
+}
+
+// Probe asks a node for its load and tells the loop what it found.
+func (b *Backend) Probe(n *core.Node) {
+	path := "/health"
+	if len(b.opt.ReportFields) > 0 {
+		path = "/status/load"
+	}
+	go func() {
+		start, status, report := b.clock.NowMs(), policy.ConnectFailed, []float64(nil)
+		defer func() { b.probed(n, b.clock.NowMs()-start, status, report) }()
+		if n.Closed() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Addr+path, nil)
+		if err != nil {
+			return
+		}
+		resp, err := b.transport.RoundTrip(req)
+		if err != nil {
+			return
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody))
+		switch {
+		case err != nil:
+			status = policy.Reset
+		case resp.StatusCode != http.StatusOK:
+			status = policy.Error
+		default:
+			status, report = policy.OK, b.report(string(body))
+		}
+	}()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,208 @@
+// Package config reads what the platform tells a gateway (the ROUTER_ variables and the JSON file that
+// ROUTER_CONFIG names) into typed settings.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	policy "opalpitch"
+
+	"opalpitch/internal/clock"
+	"opalpitch/internal/core"
+	"opalpitch/internal/discovery"
+)
+
+// Config is all that the program needs to know.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores, MemoryMB         float64
+	Sockets                 int
+	Known                   core.List
+	Settings                policy.Settings
+	ConnIdleMs, ConnectMs   float64
+}
+
+// Load reads the configuration; getenv is os.Getenv but for tests.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("ROUTER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, at := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
+		"ROUTER_DISCOVERY": &c.Discovery} {
+		if v := getenv(name); v != "" {
+			*at = v
+		}
+	}
+	for what, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s address %q: not host:port", what, addr)
+		}
+	}
+	return c, nil
+}
+
+// Parse reads the JSON text.
+func Parse(text []byte) (*Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	r := &reader{}
+	c := &Config{
+		Name: r.str(v, "name"), Listen: r.str(v, "listen"), Discovery: r.str(v, "discovery"),
+		Cores: r.num(v, "limits", "cores"), MemoryMB: r.num(v, "limits", "memory_mb"),
+		Sockets: int(r.num(v, "limits", "sockets")),
+	}
+	if seed := r.str(v, "seed"); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed %q: not 64 bits in hex", seed)
+		}
+	}
+	if known := v.Get("known"); known != nil && known.Type() == fastjson.TypeObject {
+		list, bad := discovery.Decode(known)
+		if bad > 0 {
+			return nil, fmt.Errorf("known: %d bad entries", bad)
+		}
+		list.Scope = policy.Stale // whatever it says of itself, it is as last seen
+		c.Known = list
+	}
+	s := v.Get("settings")
+	if s == nil || s.Type() != fastjson.TypeObject {
+		return nil, errors.New("settings is missing")
+	}
+	c.ConnIdleMs, c.ConnectMs = r.num(s, "Limits", "ConnIdleMs"), r.num(s, "Limits", "ConnectTimeoutMs")
+	c.Settings = r.settings(s)
+	return c, r.err
+}
+
+// reader keeps the first bad value in err.
+type reader struct{ err error }
+
+func (r *reader) bad(path []string, want string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("%q is not %s", path, want)
+	}
+}
+
+// num reads a number; an absent one is 0.
+func (r *reader) num(v *fastjson.Value, path ...string) float64 {
+	x := v.Get(path...)
+	if x == nil || x.Type() == fastjson.TypeNull {
+		return 0
+	}
+	f, err := x.Float64()
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
+		r.bad(path, "a number from 0 up")
+		return 0
+	}
+	return f
+}
+
+func (r *reader) str(v *fastjson.Value, path ...string) string {
+	x := v.Get(path...)
+	if x == nil || x.Type() == fastjson.TypeNull {
+		return ""
+	}
+	b, err := x.StringBytes()
+	if err != nil {
+		r.bad(path, "a text")
+	}
+	return string(b)
+}
+
+func (r *reader) yes(v *fastjson.Value, path ...string) bool {
+	x := v.Get(path...)
+	if x == nil || x.Type() == fastjson.TypeNull {
+		return false
+	}
+	b, err := x.Bool()
+	if err != nil {
+		r.bad(path, "true or false")
+	}
+	return b
+}
+
+func (r *reader) ms(v *fastjson.Value, path ...string) time.Duration {
+	path[len(path)-1] += "Ms"
+	return clock.Duration(r.num(v, path...))
+}
+
+var effects = map[string]policy.Effect{
+	"repeatable": policy.Repeatable, "by_key": policy.ByKey, "once": policy.Once,
+}
+
+var groups = map[string]policy.Scope{
+	"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell,
+}
+
+// settings reads the object that an instance of the simulator gets in its first message. Unknown keys are
+// skipped, an unknown effect or group is read as the strictest.
+func (r *reader) settings(v *fastjson.Value) (s policy.Settings) {
+	writes := v.GetArray("FamilyInfo", "ClassWrites")
+	for i, l := range v.GetArray("Lanes") {
+		c := policy.Class{
+			Name: r.str(l, "Name"), Aim: r.ms(l, "Promise"), AimStretch: r.num(l, "AimStretch"),
+			Deadline: r.ms(l, "Deadline"), DedupWindow: r.ms(l, "DedupWindow"),
+			InTurn: r.yes(l, "InTurn"), Stream: r.yes(l, "Stream"),
+			Worth: r.num(l, "Worth"), LateValue: r.num(l, "LateValue"),
+			Write: i < len(writes) && writes[i].Type() == fastjson.TypeTrue,
+		}
+		var ok bool
+		if c.Effect, ok = effects[r.str(l, "Idempotency")]; !ok {
+			c.Effect = policy.Once
+		}
+		if c.Scope, ok = groups[r.str(l, "KeyScope")]; !ok {
+			c.Scope = policy.ScopeCell
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	for _, p := range v.GetArray("Plans") {
+		s.Plans = append(s.Plans, policy.Plan{
+			Name: r.str(p, "Name"), Rate: r.num(p, "UsualRate"), Reserve: r.num(p, "Reservation"),
+			Weight: r.num(p, "Shares"), Pays: r.num(p, "Pays"), Limit: r.num(p, "CeilingRate"),
+			LimitCap: r.num(p, "CapDepth"), LimitDebt: r.num(p, "CapSlack"),
+		})
+	}
+	s.Siblings, s.Shards = int(r.num(v, "Siblings")), int(r.num(v, "FamilyInfo", "NShards"))
+	s.MeanUnits, s.MostUnits = r.num(v, "FamilyInfo", "MeanUnits"), r.num(v, "FamilyInfo", "MostUnits")
+	s.FairWorth, s.IdleWorth = r.num(v, "FamilyInfo", "FairWorth"), r.num(v, "FamilyInfo", "IdleWorth")
+	s.AskList = r.str(v, "Discovery") == "ask"
+	s.AskWithin = r.ms(v, "Invariants", "AskWithin")
+	s.MaxAttempts = int(r.num(v, "Limits", "AttemptsCap"))
+	s.MayDuplicate, s.MayCancel = r.yes(v, "Limits", "MayDuplicate"), r.yes(v, "Limits", "Cancel")
+	s.MayProbe = r.yes(v, "Limits", "Probing")
+	if r.yes(v, "Limits", "RetryAfter") {
+		s.MaxComeBack = r.ms(v, "Limits", "MaxRetryAfter")
+	}
+	s.AnswerGrace, s.DrainGrace = r.ms(v, "Invariants", "GraceToAnswer"), r.ms(v, "Invariants", "DrainGrace")
+	s.StartCapacity, s.RampTime = r.num(v, "Invariants", "StartCapacity"), r.ms(v, "Invariants", "RampTime")
+	s.FallMultiple, s.FallWindow = r.num(v, "Invariants", "FallMultiple"), r.ms(v, "Invariants", "Fall")
+	s.ColdBears, s.KeyRest = r.num(v, "FamilyInfo", "ColdBears"), r.ms(v, "Invariants", "KeyRest")
+	s.ExtraFloor, s.ExtraRatio = r.num(v, "Invariants", "ExtraFloor"), r.num(v, "Invariants", "ExtraRatio")
+	s.ExtraWindow, s.UsePeriod = r.ms(v, "Invariants", "CountedOver"), r.ms(v, "FamilyInfo", "UsePeriod")
+	s.TellsElsewhere = r.yes(v, "FamilyInfo", "TellsElsewhere")
+	for _, f := range v.GetArray("Report", "Fields") {
+		name, _ := f.StringBytes()
+		s.ReportFields = append(s.ReportFields, string(name))
+	}
+	s.Tick = r.ms(v, "Tick")
+	return s
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,323 @@
+// Package core holds the life of requests: it feeds the decision module and carries out what it decides.
+// It does no I/O and knows no wire. One goroutine (package loop) owns a Core; Node alone is shared.
+package core
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	policy "opalpitch"
+
+	"opalpitch/internal/clock"
+)
+
+// Request is what a front has taken from a client.
+type Request struct {
+	Class, Plan string
+	Volume, Key uint64
+	LeftMs      float64 // how long the answer may take
+	Units       float64
+	Shard       int // -1: a new object
+	Hosts       int
+	Repeat      bool
+
+	Carrier Carrier      // carries this request's attempts to nodes
+	Load    any          // what the carrier sends; opaque here
+	Reply   func(Answer) // called exactly once unless Gone came first; must not block
+
+	id   policy.RequestID
+	gone bool
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The kinds of final answer.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // no promise on the effect
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Verdict    Verdict
+	ComeBackMs float64 // with Refused: when to try again; 0: no advice
+	Result     any     // with Served: what the node answered; opaque here
+}
+
+// Node is a storage node as listed. Its fields never change; a new entry replaces it.
+type Node struct {
+	Name, Addr, Zone, Kind string
+	Shard                  int
+	Weight, StartedMs      float64
+	State                  policy.NodeState
+
+	closed atomic.Bool
+	known  policy.NodeID
+}
+
+// Closed tells whether the list has since named the node draining, gone or moved. A carrier checks it before
+// the first byte of an attempt that had to wait: a drain is counted from that byte.
+func (n *Node) Closed() bool { return n.closed.Load() }
+
+// List is news of the node list.
+type List struct {
+	Version uint64
+	Scope   policy.ListScope
+	Nodes   []*Node
+}
+
+// Attempt is one try of a request at a node.
+type Attempt struct {
+	Request    *Request
+	N          int
+	Node       *Node
+	DeadlineMs float64 // when to stop waiting, on the clock
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Status       policy.Status
+	Use          float64 // the volume's use, as part of its plan's rate
+	HasUse       bool
+	ForeignUnits float64
+	Report       []float64
+	Body         any // with OK: handed to the front
+}
+
+// Carrier starts attempts on some wire. Start must not block; each attempt ends in one Core.Finish, through
+// the loop. cancel may be called at any time.
+type Carrier interface {
+	Start(a Attempt) (cancel func())
+}
+
+// Outside is what the core asks of the rest of the program. No method may block.
+type Outside interface {
+	WakeAt(ms float64)
+	Subscribe()
+	Probe(n *Node)
+	Log(text string)
+	Count(name string)
+}
+
+// Policy is the decision module.
+type Policy interface {
+	Step(now time.Duration, events []policy.Event) []policy.Action
+}
+
+type attempt struct {
+	node   *Node
+	sentMs float64
+	cancel func()
+	ended  bool
+}
+
+type entry struct {
+	req      *Request
+	expiryMs float64
+	answered bool
+	tries    []*attempt
+	out      int
+}
+
+// Core is the state of one gateway.
+type Core struct {
+	policy Policy
+	out    Outside
+	marks  bool // clients mark their repeats
+	events []policy.Event
+	open   map[policy.RequestID]*entry
+	nodes  map[policy.NodeID]*Node
+	ids    map[string]policy.NodeID
+	lastID policy.RequestID
+	lists  int
+}
+
+// New returns a core round a module.
+func New(p Policy, out Outside) *Core {
+	return &Core{policy: p, out: out, open: map[policy.RequestID]*entry{},
+		nodes: map[policy.NodeID]*Node{}, ids: map[string]policy.NodeID{}}
+}
+
+// Open is the number of requests not yet answered.
+func (c *Core) Open() (n int) {
+	for _, e := range c.open {
+		if !e.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready tells whether a node list is held.
+func (c *Core) Ready() bool { return c.lists > 0 }
+
+// Take hands a client's request in.
+func (c *Core) Take(nowMs float64, r *Request) {
+	if r.gone {
+		return
+	}
+	for c.lastID++; c.open[c.lastID] != nil; c.lastID++ { // after 2^32 requests ids come round
+	}
+	r.id = c.lastID
+	c.open[r.id] = &entry{req: r, expiryMs: nowMs + r.LeftMs}
+	c.out.Count("requests_taken")
+	c.events = append(c.events, policy.Arrival{ID: r.id, Class: r.Class, Plan: r.Plan,
+		Volume: policy.VolumeID(r.Volume), Key: r.Key, TTL: clock.Duration(r.LeftMs), Units: r.Units,
+		Shard: r.Shard, Hosts: r.Hosts, Repeat: r.Repeat})
+}
+
+// Gone tells that a request's client has gone away: it gets no answer any more.
+func (c *Core) Gone(r *Request) {
+	r.gone = true
+	e := c.open[r.id]
+	if e == nil || e.req != r || e.answered {
+		return
+	}
+	e.answered = true
+	c.out.Count("requests_dropped")
+	c.events = append(c.events, policy.Dropped{ID: r.id})
+	c.settle(e)
+}
+
+// Finish tells how an attempt ended. A second end of the same attempt is ignored.
+func (c *Core) Finish(nowMs float64, r *Request, n int, res Result) {
+	e := c.open[r.id]
+	if e == nil || e.req != r || n < 0 || n >= len(e.tries) || e.tries[n].ended {
+		return
+	}
+	t := e.tries[n]
+	t.ended = true
+	e.out--
+	c.out.Count("attempts_" + statusNames[res.Status])
+	if res.Status == policy.OK && !e.answered { // the first answer of a node goes to the client as it is
+		c.answer(e, Answer{Verdict: Served, Result: res.Body})
+	}
+	c.events = append(c.events, policy.Outcome{ID: r.id, Attempt: n, Node: t.node.known, Status: res.Status,
+		Latency: clock.Duration(nowMs - t.sentMs), Terminal: e.answered, VolumeUse: res.Use, HasUse: res.HasUse,
+		ForeignUnits: res.ForeignUnits, Report: res.Report})
+	c.settle(e)
+}
+
+var statusNames = [...]string{"ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+
+// Probed tells what a probe found.
+func (c *Core) Probed(n *Node, latencyMs float64, s policy.Status, report []float64) {
+	c.events = append(c.events, policy.Probed{Node: n.known, Status: s,
+		Latency: clock.Duration(latencyMs), Report: report})
+}
+
+// Nodes brings news of the node list.
+func (c *Core) Nodes(l List) {
+	ev := policy.NodeList{Version: l.Version, Scope: l.Scope}
+	listed := map[policy.NodeID]bool{}
+	for _, n := range l.Nodes {
+		id := c.ids[n.Name]
+		if id == 0 {
+			id = policy.NodeID(len(c.ids) + 1)
+			c.ids[n.Name] = id
+		}
+		n.known = id
+		listed[id] = true
+		if old := c.nodes[id]; old != nil && old.Addr != n.Addr {
+			old.closed.Store(true)
+		} else if old != nil && n.State != policy.Live {
+			old.closed.Store(true)
+		}
+		n.closed.Store(n.State != policy.Live)
+		c.nodes[id] = n
+		ev.Nodes = append(ev.Nodes, policy.Node{ID: id, State: n.State, Shard: n.Shard, Kind: n.Kind, Zone: n.Zone,
+			StartedAt: clock.Duration(n.StartedMs), Size: n.Weight})
+	}
+	if l.Scope == policy.Whole || l.Scope == policy.Stale {
+		for id, n := range c.nodes {
+			if !listed[id] {
+				n.closed.Store(true)
+			}
+		}
+	}
+	if l.Scope != policy.Broken {
+		c.lists++
+	}
+	c.events = append(c.events, ev)
+}
+
+// Wake tells that a time asked for with Outside.WakeAt has come.
+func (c *Core) Wake() { c.events = append(c.events, policy.Wake{}) }
+
+// Step lets the module decide on all that came in since the last one, and carries it out.
+func (c *Core) Step(nowMs float64) {
+	if len(c.events) == 0 {
+		return
+	}
+	events := c.events
+	c.events = nil
+	for _, a := range c.policy.Step(clock.Duration(nowMs), events) {
+		switch a := a.(type) {
+		case policy.Send:
+			c.send(nowMs, a)
+		case policy.Refuse:
+			c.end(a.ID, Answer{Verdict: Refused, ComeBackMs: clock.Ms(a.ComeBack)})
+		case policy.Fail:
+			c.end(a.ID, Answer{Verdict: Failed})
+		case policy.Cancel:
+			if e := c.open[a.ID]; e != nil && a.Attempt >= 0 && a.Attempt < len(e.tries) && !e.tries[a.Attempt].ended {
+				e.tries[a.Attempt].cancel()
+			}
+		case policy.Subscribe:
+			c.out.Subscribe()
+		case policy.Probe:
+			if n := c.nodes[a.Node]; n != nil {
+				c.out.Probe(n)
+			}
+		case policy.WakeAt:
+			c.out.WakeAt(clock.Ms(a.At))
+		case policy.Log:
+			c.out.Log(a.Text)
+		default:
+			c.out.Log(fmt.Sprintf("unknown action %T", a))
+		}
+	}
+}
+
+func (c *Core) send(nowMs float64, a policy.Send) {
+	e, n := c.open[a.ID], c.nodes[a.Node]
+	if e == nil || n == nil {
+		c.out.Log(fmt.Sprintf("send of request %d to node %d: not known", a.ID, a.Node))
+		return
+	}
+	deadline := e.expiryMs
+	if a.Timeout != 0 {
+		deadline = min(deadline, nowMs+clock.Ms(a.Timeout))
+	}
+	t := &attempt{node: n, sentMs: nowMs}
+	e.tries = append(e.tries, t)
+	e.out++
+	c.out.Count("attempts_started")
+	t.cancel = e.req.Carrier.Start(Attempt{Request: e.req, N: len(e.tries) - 1, Node: n, DeadlineMs: deadline})
+}
+
+func (c *Core) end(id policy.RequestID, a Answer) {
+	if e := c.open[id]; e != nil && !e.answered {
+		c.answer(e, a)
+		c.settle(e)
+	}
+}
+
+var verdictNames = [...]string{"answers_served", "answers_refused", "answers_failed"}
+
+// answer gives the one final answer.
+func (c *Core) answer(e *entry, a Answer) {
+	e.answered = true
+	c.out.Count(verdictNames[a.Verdict])
+	e.req.Reply(a)
+}
+
+// settle forgets a request that is answered and has no attempt out.
+func (c *Core) settle(e *entry) {
+	if e.answered && e.out == 0 {
+		delete(c.open, e.req.id)
+	}
+}
--- /dev/null
+++ b/internal/httpfront/front.go
@@ -0,0 +1,220 @@
+// Package httpfront takes clients' requests over HTTP and writes their answers. It holds no decisions.
+package httpfront
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	policy "opalpitch"
+
+	"opalpitch/internal/backend"
+	"opalpitch/internal/clock"
+	"opalpitch/internal/core"
+	"opalpitch/internal/metrics"
+)
+
+const (
+	// marginMs is kept back from the client's time: it counts from the client's sending, and the answer has to
+	// get there.
+	marginMs = 10
+	// guardMs after the module should have answered the front gives up by itself, inside the rules' 50 ms.
+	guardMs = 25
+)
+
+// Loop is what the front asks of the loop.
+type Loop interface {
+	Offer(*core.Request) bool
+	Gone(*core.Request)
+	Ready() bool
+}
+
+// Front is an http.Handler.
+type Front struct {
+	Loop     Loop
+	Carrier  core.Carrier
+	Clock    clock.Clock
+	Metrics  *metrics.Set
+	Settings *policy.Settings
+	Draining func() bool
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.Clock.NowMs()
+	switch r.URL.Path {
+	case "/ready":
+		if f.Draining() || !f.Loop.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+		return
+	case "/metrics":
+		f.Metrics.Print(w)
+		return
+	}
+	req, code, err := f.parse(r)
+	if err != nil {
+		f.Metrics.Add("requests_malformed", 1)
+		http.Error(w, err.Error(), code)
+		return
+	}
+	answers := make(chan core.Answer, 1) // one answer fits, so the loop never waits
+	req.Reply = func(a core.Answer) { answers <- a }
+	req.LeftMs -= marginMs + (f.Clock.NowMs() - arrived)
+	if !f.Loop.Offer(req) {
+		// Nothing of it has run, so a refusal is true to any class.
+		f.Metrics.Add("requests_inbox_full", 1)
+		f.refuse(w, 250)
+		return
+	}
+	late := make(chan struct{})
+	stop := f.Clock.AfterFunc(req.LeftMs+guardMs, func() { close(late) })
+	defer stop()
+	select {
+	case a := <-answers:
+		f.answer(w, a)
+	case <-r.Context().Done():
+		f.Loop.Gone(req)
+	case <-late:
+		// The loop is held up. What it did is not known here, so this may only be a failure.
+		f.Metrics.Add("answers_by_guard", 1)
+		f.Loop.Gone(req)
+		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
+	}
+}
+
+func (f *Front) answer(w http.ResponseWriter, a core.Answer) {
+	switch a.Verdict {
+	case core.Served:
+		body := a.Result.([]byte)
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.Write(body)
+	case core.Refused:
+		f.refuse(w, a.ComeBackMs)
+	default:
+		http.Error(w, "failed", http.StatusBadGateway)
+	}
+}
+
+func (f *Front) refuse(w http.ResponseWriter, comeBackMs float64) {
+	if comeBackMs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(comeBackMs/1000, 'f', 3, 64))
+	}
+	http.Error(w, "busy", http.StatusServiceUnavailable)
+}
+
+// parse reads a client's request; what is malformed never reaches the module.
+func (f *Front) parse(r *http.Request) (*core.Request, int, error) {
+	bad := func(format string, args ...any) (*core.Request, int, error) {
+		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
+	}
+	if r.Method != http.MethodGet && r.Method != http.MethodPut {
+		return nil, http.StatusMethodNotAllowed, errors.New("GET or PUT")
+	}
+	class := f.class(r.Header.Get("X-Service-Class"))
+	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if class == nil || len(parts) < 2 || parts[0] != class.Name {
+		return bad("unknown class, or not the path's first part")
+	}
+	key, err := strconv.ParseUint(parts[len(parts)-1], 16, 64)
+	if err != nil || len(parts[len(parts)-1]) != 16 {
+		return bad("the path's last part is not 16 hex digits")
+	}
+	id := r.Header.Get("X-Correlation-Id")
+	if id == "" || len(id) > 128 {
+		return bad("X-Correlation-Id is missing or too long")
+	}
+	left, err := strconv.ParseUint(r.Header.Get("X-Time-Left-Ms"), 10, 31)
+	if err != nil {
+		return bad("X-Time-Left-Ms is not a whole number")
+	}
+	idem := r.Header.Get("Idempotency-Key")
+	if class.Effect == policy.ByKey && idem == "" {
+		return bad("class %s needs an Idempotency-Key", class.Name)
+	}
+	req := &core.Request{Class: class.Name, Plan: r.Header.Get("X-Plan"), Key: key, LeftMs: float64(left),
+		Repeat: r.Header.Get("X-Repeat") == "1", Carrier: f.Carrier}
+	if !f.plan(req.Plan) {
+		return bad("unknown plan")
+	}
+	if err := extras(req, r.Header.Get("X-IO")); err != nil {
+		return bad("X-IO: %w", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, backend.MaxBody))
+	if err != nil {
+		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+			return nil, http.StatusRequestEntityTooLarge, errors.New("the body is over 64 KiB")
+		}
+		return bad("the body is not whole")
+	}
+	header := http.Header{"X-Correlation-Id": {id}}
+	if idem != "" {
+		header.Set("Idempotency-Key", idem)
+	}
+	if ct := r.Header.Get("Content-Type"); ct != "" {
+		header.Set("Content-Type", ct)
+	}
+	req.Load = &backend.Load{Method: r.Method, Path: r.URL.Path, RawPath: r.URL.RawPath,
+		RawQuery: r.URL.RawQuery, Header: header, Body: body}
+	return req, 0, nil
+}
+
+// extras reads X-IO. Unknown names are skipped.
+func extras(req *core.Request, text string) error {
+	seen := 0
+	for _, kv := range strings.Split(text, ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(kv), "=")
+		var err error
+		switch name {
+		case "volume":
+			req.Volume, err = strconv.ParseUint(v, 16, 64)
+		case "units":
+			req.Units, err = strconv.ParseFloat(v, 64)
+			if err == nil && !(req.Units > 0 && req.Units < math.MaxInt32) {
+				err = strconv.ErrRange
+			}
+		case "shard":
+			req.Shard, err = strconv.Atoi(v)
+			if err == nil && req.Shard < -1 {
+				err = strconv.ErrRange
+			}
+		case "hosts":
+			req.Hosts, err = strconv.Atoi(v)
+		default:
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("%s: bad value", name)
+		}
+		seen++
+	}
+	if seen != 4 {
+		return errors.New("volume, units, shard and hosts are wanted, once each")
+	}
+	return nil
+}
+
+func (f *Front) class(name string) *policy.Class {
+	for i := range f.Settings.Classes {
+		if f.Settings.Classes[i].Name == name {
+			return &f.Settings.Classes[i]
+		}
+	}
+	return nil
+}
+
+func (f *Front) plan(name string) bool {
+	for i := range f.Settings.Plans {
+		if f.Settings.Plans[i].Name == name {
+			return true
+		}
+	}
+	return len(f.Settings.Plans) == 0
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,118 @@
+// Package loop runs the one goroutine that owns the core and the decision module. Everyone else reaches them
+// through its bounded inbox.
+package loop
+
+import (
+	"context"
+	"log"
+	"sync/atomic"
+
+	policy "opalpitch"
+
+	"opalpitch/internal/clock"
+	"opalpitch/internal/core"
+	"opalpitch/internal/metrics"
+)
+
+// inboxSize bounds what waits for the loop; above the last quarter new requests are turned away, so that the
+// ends of attempts, which must not be lost, always find room soon.
+const inboxSize = 4096
+
+// Loop owns a core.
+type Loop struct {
+	Clock   clock.Clock
+	Metrics *metrics.Set
+	// Watch is called when the module wants the changes of the node list, Prober when it wants a node probed.
+	Watch  func()
+	Prober func(n *core.Node)
+
+	core   *core.Core
+	inbox  chan func(nowMs float64)
+	done   chan struct{}
+	stop   func() // of the pending wake
+	ready  atomic.Bool
+	openNo atomic.Int64
+}
+
+// New returns a loop round a decision module; call Run to start it.
+func New(p core.Policy, c clock.Clock, m *metrics.Set) *Loop {
+	l := &Loop{Clock: c, Metrics: m, Watch: func() {}, Prober: func(*core.Node) {},
+		inbox: make(chan func(float64), inboxSize), done: make(chan struct{}), stop: func() {}}
+	l.core = core.New(p, outside{l})
+	return l
+}
+
+// Run handles the inbox until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.inbox:
+			now := l.Clock.NowMs()
+			f(now)
+			for n := len(l.inbox); n > 0; n-- { // all that waits is one step
+				(<-l.inbox)(now)
+			}
+			l.core.Step(now)
+			l.ready.Store(l.core.Ready())
+			l.openNo.Store(int64(l.core.Open()))
+		}
+	}
+}
+
+// Offer hands a request in. It returns false, having done nothing, when the inbox is too full or closed.
+func (l *Loop) Offer(r *core.Request) bool {
+	if len(l.inbox) > inboxSize*3/4 {
+		return false
+	}
+	return l.post(func(now float64) { l.core.Take(now, r) })
+}
+
+// Gone tells that a request's client has gone away.
+func (l *Loop) Gone(r *core.Request) { l.post(func(float64) { l.core.Gone(r) }) }
+
+// Finish tells how an attempt ended.
+func (l *Loop) Finish(a core.Attempt, res core.Result) {
+	l.post(func(now float64) { l.core.Finish(now, a.Request, a.N, res) })
+}
+
+// Probed tells what a probe found.
+func (l *Loop) Probed(n *core.Node, latencyMs float64, s policy.Status, report []float64) {
+	l.post(func(float64) { l.core.Probed(n, latencyMs, s, report) })
+}
+
+// Nodes brings news of the node list.
+func (l *Loop) Nodes(list core.List) { l.post(func(float64) { l.core.Nodes(list) }) }
+
+// Ready tells whether requests can be served.
+func (l *Loop) Ready() bool { return l.ready.Load() }
+
+// Open is the number of requests not yet answered.
+func (l *Loop) Open() int { return int(l.openNo.Load()) }
+
+// post waits for room in the inbox; the loop never waits for anyone, so there soon is some.
+func (l *Loop) post(f func(nowMs float64)) bool {
+	select {
+	case l.inbox <- f:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// outside is the loop as the core sees it; its methods run on the loop's goroutine.
+type outside struct{ l *Loop }
+
+func (o outside) WakeAt(ms float64) {
+	o.l.stop()
+	o.l.stop = o.l.Clock.AfterFunc(ms-o.l.Clock.NowMs(), func() {
+		o.l.post(func(float64) { o.l.core.Wake() })
+	})
+}
+
+func (o outside) Subscribe()         { o.l.Watch() }
+func (o outside) Probe(n *core.Node) { o.l.Prober(n) }
+func (o outside) Log(text string)    { log.Printf("module: %s", text) }
+func (o outside) Count(name string)  { o.l.Metrics.Add(name, 1) }
