--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -18,15 +18,15 @@
 
 	"golang.org/x/net/netutil"
 
-	policy "opalpitch"
+	policy "gaugerelay"
 
-	"opalpitch/internal/backend"
-	"opalpitch/internal/clock"
-	"opalpitch/internal/config"
-	"opalpitch/internal/discovery"
-	"opalpitch/internal/httpfront"
-	"opalpitch/internal/loop"
-	"opalpitch/internal/metrics"
+	"gaugerelay/internal/backend"
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/config"
+	"gaugerelay/internal/discovery"
+	"gaugerelay/internal/httpfront"
+	"gaugerelay/internal/loop"
+	"gaugerelay/internal/metrics"
 )
 
 const (
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"opalpitch"
-	"opalpitch/internal/wire"
+	"gaugerelay"
+	"gaugerelay/internal/wire"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r, w := wire.NewReader(in), bufio.NewWriterSize(out, 1<<20)
-	hosts := map[int]*opalpitch.Scheduler{}
+	hosts := map[int]*gaugerelay.Scheduler{}
 	for {
 		b, err := r.Next()
 		if errors.Is(err, io.EOF) {
@@ -38,14 +38,14 @@
 				delete(hosts, it.Instance)
 				i++
 			case wire.Opened:
-				s, err := opalpitch.New(it.Settings, it.Seed)
+				s, err := gaugerelay.New(it.Settings, it.Seed)
 				if err != nil {
 					return fmt.Errorf("instance %d: %w", it.Instance, err)
 				}
 				hosts[it.Instance] = s
 				i++
 			default: // all that follows for the same life of this instance is one step
-				var events []opalpitch.Event
+				var events []gaugerelay.Event
 				for ; i < len(b.Items) && b.Items[i].Instance == it.Instance &&
 					b.Items[i].Kind == wire.Happened; i++ {
 					events = append(events, b.Items[i].Event)
@@ -63,7 +63,7 @@
 }
 
 // step runs one instance; a panic there becomes GIVE_IN.
-func step(w *bufio.Writer, inst int, s *opalpitch.Scheduler, b *wire.Batch, events []opalpitch.Event) {
+func step(w *bufio.Writer, inst int, s *gaugerelay.Scheduler, b *wire.Batch, events []gaugerelay.Event) {
 	defer func() {
 		if p := recover(); p != nil {
 			wire.GiveIn(w, inst, fmt.Sprint(p))
--- a/example_test.go
+++ b/example_test.go
@@ -1,20 +1,20 @@
-package opalpitch_test
+package gaugerelay_test
 
 import (
 	"fmt"
 	"time"
 
-	"opalpitch"
+	"gaugerelay"
 )
 
 // A gateway feeds what happens to Step and carries out the actions it returns.
 func Example() {
-	settings := opalpitch.Settings{
+	settings := gaugerelay.Settings{
 		Siblings: 1, Shards: 1, MeanUnits: 2, MostUnits: 6, MaxAttempts: 3, Tick: 2 * time.Millisecond,
-		Classes: []opalpitch.Class{{Name: "read", Aim: 500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 2}},
-		Plans:   []opalpitch.Plan{{Name: "standard", Weight: 1, Pays: 1}},
+		Classes: []gaugerelay.Class{{Name: "read", Aim: 500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 2}},
+		Plans:   []gaugerelay.Plan{{Name: "standard", Weight: 1, Pays: 1}},
 	}
-	s, err := opalpitch.New(settings, 42)
+	s, err := gaugerelay.New(settings, 42)
 	if err != nil {
 		panic(err)
 	}
@@ -22,22 +22,22 @@
 	clock := func() time.Duration { return time.Since(start) + time.Second } // any zero, only forwards
 
 	// First the node list, then requests as they come.
-	s.Step(clock(), []opalpitch.Event{opalpitch.NodeList{Scope: opalpitch.Whole,
-		Nodes: []opalpitch.Node{{ID: 51, Shard: 0}}}})
-	actions := s.Step(clock(), []opalpitch.Event{opalpitch.Arrival{ID: 7, Class: "read", Plan: "standard",
+	s.Step(clock(), []gaugerelay.Event{gaugerelay.NodeList{Scope: gaugerelay.Whole,
+		Nodes: []gaugerelay.Node{{ID: 51, Shard: 0}}}})
+	actions := s.Step(clock(), []gaugerelay.Event{gaugerelay.Arrival{ID: 7, Class: "read", Plan: "standard",
 		Volume: 1, Key: 99, TTL: 3 * time.Second, Units: 2, Shard: 0, Hosts: 1}})
 	for _, a := range actions {
 		switch a := a.(type) {
-		case opalpitch.Send:
+		case gaugerelay.Send:
 			fmt.Printf("send request %d to node %d\n", a.ID, a.Node)
-		case opalpitch.Refuse:
+		case gaugerelay.Refuse:
 			fmt.Printf("tell client %d to try again\n", a.ID)
-		case opalpitch.Fail:
+		case gaugerelay.Fail:
 			fmt.Printf("tell client %d that it failed\n", a.ID)
-		case opalpitch.WakeAt: // arm a timer for a.At, then Step with a Wake event
+		case gaugerelay.WakeAt: // arm a timer for a.At, then Step with a Wake event
 		}
 	}
-	s.Step(clock(), []opalpitch.Event{opalpitch.Outcome{ID: 7, Node: 51, Status: opalpitch.OK,
+	s.Step(clock(), []gaugerelay.Event{gaugerelay.Outcome{ID: 7, Node: 51, Status: gaugerelay.OK,
 		Latency: 40 * time.Millisecond, Terminal: true}})
 	// Output: send request 7 to node 51
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,11 +17,11 @@
 
 	"github.com/valyala/fastjson"
 
-	policy "opalpitch"
+	policy "gaugerelay"
 
-	"opalpitch/internal/clock"
-	"opalpitch/internal/core"
-	"opalpitch/internal/metrics"
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
 )
 
 // MaxBody bounds the bodies of requests and answers.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,11 +13,11 @@
 
 	"github.com/valyala/fastjson"
 
-	policy "opalpitch"
+	policy "gaugerelay"
 
-	"opalpitch/internal/clock"
-	"opalpitch/internal/core"
-	"opalpitch/internal/discovery"
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/discovery"
 )
 
 // Config is all that the program needs to know.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	policy "opalpitch"
+	policy "gaugerelay"
 
-	"opalpitch/internal/clock"
+	"gaugerelay/internal/clock"
 )
 
 // Request is what a front has taken from a client.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -10,12 +10,12 @@
 	"strconv"
 	"strings"
 
-	policy "opalpitch"
+	policy "gaugerelay"
 
-	"opalpitch/internal/backend"
-	"opalpitch/internal/clock"
-	"opalpitch/internal/core"
-	"opalpitch/internal/metrics"
+	"gaugerelay/internal/backend"
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
 )
 
 const (
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -7,11 +7,11 @@
 	"log"
 	"sync/atomic"
 
-	policy "opalpitch"
+	policy "gaugerelay"
 
-	"opalpitch/internal/clock"
-	"opalpitch/internal/core"
-	"opalpitch/internal/metrics"
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
 )
 
 // inboxSize bounds what waits for the loop; above the last quarter new requests are turned away, so that the
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"opalpitch"
+	"gaugerelay"
 )
 
 // pairs is the Setup of an instance; the first bad value is kept in err.
@@ -30,16 +30,16 @@
 func (p *pairs) ms(path string) time.Duration { return ms(p.num(path + "Ms")) }
 func (p *pairs) yes(path string) bool         { return p.vals[path] == "true" || p.vals[path] == "1" }
 
-var effects = map[string]opalpitch.Effect{
-	"repeatable": opalpitch.Repeatable, "by_key": opalpitch.ByKey, "once": opalpitch.Once,
+var effects = map[string]gaugerelay.Effect{
+	"repeatable": gaugerelay.Repeatable, "by_key": gaugerelay.ByKey, "once": gaugerelay.Once,
 }
 
-var groups = map[string]opalpitch.Scope{
-	"all": opalpitch.ScopeAll, "zone": opalpitch.ScopeZone, "cell": opalpitch.ScopeCell,
+var groups = map[string]gaugerelay.Scope{
+	"all": gaugerelay.ScopeAll, "zone": gaugerelay.ScopeZone, "cell": gaugerelay.ScopeCell,
 }
 
 // settings reads the Setup pairs. Unknown paths are skipped.
-func settings(f *fields) (s opalpitch.Settings) {
+func settings(f *fields) (s gaugerelay.Settings) {
 	p := &pairs{vals: make(map[string]string, len(f.vals))}
 	for _, kv := range f.vals {
 		if k, v, ok := strings.Cut(kv, "="); ok {
@@ -49,7 +49,7 @@
 	writes := strings.Split(p.vals["FamilyInfo.ClassWrites"], ",")
 	for i := range int(p.num("Lanes.count")) {
 		at := fmt.Sprintf("Lanes.%d.", i)
-		c := opalpitch.Class{
+		c := gaugerelay.Class{
 			Name: p.vals[at+"Name"], Aim: p.ms(at + "Promise"), AimStretch: p.num(at + "AimStretch"),
 			Deadline: p.ms(at + "Deadline"), DedupWindow: p.ms(at + "DedupWindow"),
 			InTurn: p.yes(at + "InTurn"), Stream: p.yes(at + "Stream"),
@@ -59,16 +59,16 @@
 		var ok, ok2 bool
 		c.Effect, ok = effects[p.vals[at+"Idempotency"]]
 		if c.Scope, ok2 = groups[p.vals[at+"KeyScope"]]; !ok2 {
-			c.Scope = opalpitch.ScopeCell // an unknown group: the narrowest
+			c.Scope = gaugerelay.ScopeCell // an unknown group: the narrowest
 		}
 		if !ok {
-			c.Effect = opalpitch.Once // an unknown effect: the strictest
+			c.Effect = gaugerelay.Once // an unknown effect: the strictest
 		}
 		s.Classes = append(s.Classes, c)
 	}
 	for i := range int(p.num("Plans.count")) {
 		at := fmt.Sprintf("Plans.%d.", i)
-		s.Plans = append(s.Plans, opalpitch.Plan{
+		s.Plans = append(s.Plans, gaugerelay.Plan{
 			Name: p.vals[at+"Name"], Rate: p.num(at + "UsualRate"), Reserve: p.num(at + "Reservation"),
 			Weight: p.num(at + "Shares"), Pays: p.num(at + "Pays"), Limit: p.num(at + "CeilingRate"),
 			LimitCap: p.num(at + "CapDepth"), LimitDebt: p.num(at + "CapSlack"),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"opalpitch"
+	"gaugerelay"
 )
 
 // Kind is what an Item holds.
@@ -27,9 +27,9 @@
 type Item struct {
 	Kind     Kind
 	Instance int
-	Seed     uint64             // with Opened
-	Settings opalpitch.Settings // with Opened
-	Event    opalpitch.Event    // with Happened
+	Seed     uint64              // with Opened
+	Settings gaugerelay.Settings // with Opened
+	Event    gaugerelay.Event    // with Happened
 }
 
 // Batch is everything that happens at one moment.
@@ -134,20 +134,20 @@
 	return out
 }
 
-var statuses = map[uint64]opalpitch.Status{
-	10: opalpitch.OK, 20: opalpitch.Error, 30: opalpitch.Full, 40: opalpitch.TimedOut,
-	50: opalpitch.ConnectFailed, 60: opalpitch.Reset, 70: opalpitch.Cancelled, 80: opalpitch.Moot,
+var statuses = map[uint64]gaugerelay.Status{
+	10: gaugerelay.OK, 20: gaugerelay.Error, 30: gaugerelay.Full, 40: gaugerelay.TimedOut,
+	50: gaugerelay.ConnectFailed, 60: gaugerelay.Reset, 70: gaugerelay.Cancelled, 80: gaugerelay.Moot,
 }
 
-var scopes = map[string]opalpitch.ListScope{
-	"patch": opalpitch.Patch, "whole": opalpitch.Whole, "stale_copy": opalpitch.Stale, "broken": opalpitch.Broken,
+var scopes = map[string]gaugerelay.ListScope{
+	"patch": gaugerelay.Patch, "whole": gaugerelay.Whole, "stale_copy": gaugerelay.Stale, "broken": gaugerelay.Broken,
 }
 
-var states = map[string]opalpitch.NodeState{
-	"live": opalpitch.Live, "quiescing": opalpitch.Draining, "dead": opalpitch.Gone,
+var states = map[string]gaugerelay.NodeState{
+	"live": gaugerelay.Live, "quiescing": gaugerelay.Draining, "dead": gaugerelay.Gone,
 }
 
-func (f *fields) status() opalpitch.Status {
+func (f *fields) status() gaugerelay.Status {
 	code := f.whole("Status", 32, false)
 	s, ok := statuses[code]
 	if !ok && f.err == nil {
@@ -211,15 +211,15 @@
 	case "BACKENDS_CHANGED":
 		it.Event, err = r.nodeList(f)
 	case "NEW_REQUEST":
-		a := opalpitch.Arrival{ID: opalpitch.RequestID(f.whole("Ref", 32, false)),
-			Class: f.text("TierClass", false), Plan: f.text("PolicyNo", true), Key: opalpitch.NoKey}
+		a := gaugerelay.Arrival{ID: gaugerelay.RequestID(f.whole("Ref", 32, false)),
+			Class: f.text("TierClass", false), Plan: f.text("PolicyNo", true), Key: gaugerelay.NoKey}
 		if k := f.text("Region", true); k != "" {
 			one := fields{name: f.name, vals: []string{k}}
 			a.Key = one.whole("Region", 64, false)
 			f.err = one.err
 		}
 		a.TTL = f.ms("TtlMs", false)
-		a.Volume = opalpitch.VolumeID(f.whole("StoreUser", 64, true))
+		a.Volume = gaugerelay.VolumeID(f.whole("StoreUser", 64, true))
 		a.Units = f.number("QuotaUnits", true)
 		if sh := f.text("Shard", true); sh == "" {
 			a.Shard = -1
@@ -235,22 +235,22 @@
 		it.Event = a
 	case "REMINDER":
 		f.whole("KeyBack", 63, false)
-		it.Event = opalpitch.Wake{}
+		it.Event = gaugerelay.Wake{}
 	case "STREAMING":
-		s := opalpitch.Started{ID: opalpitch.RequestID(f.whole("Ref", 32, false))}
+		s := gaugerelay.Started{ID: gaugerelay.RequestID(f.whole("Ref", 32, false))}
 		s.Latency = f.ms("LagMs", true)
-		s.Node = opalpitch.NodeID(f.whole("Store", 32, false))
+		s.Node = gaugerelay.NodeID(f.whole("Store", 32, false))
 		s.Attempt = int(f.whole("Shot", 31, false))
 		it.Event = s
 	case "DROPPED":
-		it.Event = opalpitch.Dropped{ID: opalpitch.RequestID(f.whole("Ref", 32, false))}
+		it.Event = gaugerelay.Dropped{ID: gaugerelay.RequestID(f.whole("Ref", 32, false))}
 	case "STATUS_BACK":
-		p := opalpitch.Probed{Latency: f.ms("LagMs", true), Status: f.status()}
-		p.Node = opalpitch.NodeID(f.whole("Store", 32, false))
+		p := gaugerelay.Probed{Latency: f.ms("LagMs", true), Status: f.status()}
+		p.Node = gaugerelay.NodeID(f.whole("Store", 32, false))
 		p.Report = f.row("ServerStats")
 		it.Event = p
 	case "CLOSED_ATTEMPT":
-		o := opalpitch.Outcome{ID: opalpitch.RequestID(f.whole("Ref", 32, false))}
+		o := gaugerelay.Outcome{ID: gaugerelay.RequestID(f.whole("Ref", 32, false))}
 		o.Latency = f.ms("LagMs", true)
 		if use := f.number("VolumeUse", true); use > 0 {
 			o.VolumeUse, o.HasUse = (use-1)/100, true
@@ -258,7 +258,7 @@
 		o.Terminal = f.text("Terminal", true) == "1"
 		o.Status = f.status()
 		o.ForeignUnits = f.number("ForeignUnits", true)
-		o.Node = opalpitch.NodeID(f.whole("Store", 32, false))
+		o.Node = gaugerelay.NodeID(f.whole("Store", 32, false))
 		o.Attempt = int(f.whole("Shot", 31, false))
 		o.Report = f.row("ServerStats")
 		it.Event = o
@@ -268,8 +268,8 @@
 	return it, true, err
 }
 
-func (r *Reader) nodeList(f *fields) (opalpitch.Event, error) {
-	l := opalpitch.NodeList{Version: f.whole("Epoch", 64, true)}
+func (r *Reader) nodeList(f *fields) (gaugerelay.Event, error) {
+	l := gaugerelay.NodeList{Version: f.whole("Epoch", 64, true)}
 	name := f.text("Scope", false)
 	scope, ok := scopes[name]
 	if !ok && f.err == nil {
@@ -283,17 +283,17 @@
 			return nil, fmt.Errorf("line %d: %d of %d ITEM lines came", r.line, i, count)
 		}
 		g := &fields{name: "ITEM", vals: vals[1:]}
-		n := opalpitch.Node{Size: g.number("Share", true)}
+		n := gaugerelay.Node{Size: g.number("Share", true)}
 		st := g.text("Readiness", false)
 		state, ok := states[st]
 		if !ok {
-			state = opalpitch.Draining // a state of a later wire: known, not to be sent to
+			state = gaugerelay.Draining // a state of a later wire: known, not to be sent to
 		}
 		n.State = state
 		n.Kind = g.text("ClassOfHost", true)
 		n.StartedAt = g.ms("CameUpMs", true)
 		n.Shard = int(g.number("Block", true))
-		n.ID = opalpitch.NodeID(g.whole("Store", 32, false))
+		n.ID = gaugerelay.NodeID(g.whole("Store", 32, false))
 		n.Zone = g.text("Dc", true)
 		f.err = g.err
 		l.Nodes = append(l.Nodes, n)
@@ -302,28 +302,28 @@
 }
 
 // Reply prints the actions of one instance.
-func Reply(w *bufio.Writer, inst int, actions []opalpitch.Action) {
+func Reply(w *bufio.Writer, inst int, actions []gaugerelay.Action) {
 	if len(actions) == 0 {
 		return
 	}
 	fmt.Fprintf(w, "FOR %d\n", inst)
 	for _, a := range actions {
 		switch a := a.(type) {
-		case opalpitch.Send:
+		case gaugerelay.Send:
 			fmt.Fprintf(w, "FORWARD %d %s %d\n", a.ID, printMs(a.Timeout), a.Node)
-		case opalpitch.Refuse:
+		case gaugerelay.Refuse:
 			fmt.Fprintf(w, "NOT_NOW %d %s\n", a.ID, printMs(a.ComeBack))
-		case opalpitch.Fail:
+		case gaugerelay.Fail:
 			fmt.Fprintf(w, "END_FAILED %d\n", a.ID)
-		case opalpitch.Cancel:
+		case gaugerelay.Cancel:
 			fmt.Fprintf(w, "CANCEL %d %d\n", a.ID, a.Attempt)
-		case opalpitch.Subscribe:
+		case gaugerelay.Subscribe:
 			fmt.Fprintf(w, "LISTEN 1\n")
-		case opalpitch.Probe:
+		case gaugerelay.Probe:
 			fmt.Fprintf(w, "PROBE %d\n", a.Node)
-		case opalpitch.WakeAt:
+		case gaugerelay.WakeAt:
 			fmt.Fprintf(w, "SET_TIMER 1 %s\n", printMs(a.At))
-		case opalpitch.Log:
+		case gaugerelay.Log:
 			fmt.Fprintf(w, "DEBUG %s\n", a.Text)
 		}
 	}
--- a/module_test.go
+++ b/module_test.go
@@ -1,4 +1,4 @@
-package opalpitch
+package gaugerelay
 
 import (
 	"testing"
--- a/opalpitch.go
+++ b/scheduler.go
@@ -1,10 +1,10 @@
-// Package opalpitch decides when a gateway sends which request to a shared pool of storage nodes.
+// Package gaugerelay decides when a gateway sends which request to a shared pool of storage nodes.
 // Its interface (Settings, events, actions) is in api.go; every decision is in this file.
 //
 // The mechanism is PARDA: each node has a window of requests out, moved by latency, and held requests
 // leave by start-time fair tags per volume. The file follows the life of a request: constants, state,
 // New, Step, the node list, arrival, release, outcome, window, and last the guards of the rules.
-package opalpitch
+package gaugerelay
 
 import (
 	"cmp"
@@ -159,13 +159,13 @@
 		reqs: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
 		nodes: map[NodeID]*node{}, turns: map[uint64]*turn{}}
 	if len(set.Classes) == 0 || set.Siblings < 1 || set.MaxAttempts < 1 || set.Shards < 0 {
-		return nil, fmt.Errorf("opalpitch: %d classes, %d siblings, %d attempts, %d shards",
+		return nil, fmt.Errorf("gaugerelay: %d classes, %d siblings, %d attempts, %d shards",
 			len(set.Classes), set.Siblings, set.MaxAttempts, set.Shards)
 	}
 	for i := range set.Classes {
 		c := &s.set.Classes[i]
 		if c.Aim <= 0 || c.Deadline <= 0 || c.Worth < 0 || s.classes[c.Name] != nil {
-			return nil, fmt.Errorf("opalpitch: class %q: bad aim, deadline or worth, or listed twice", c.Name)
+			return nil, fmt.Errorf("gaugerelay: class %q: bad aim, deadline or worth, or listed twice", c.Name)
 		}
 		s.classes[c.Name] = c
 		if aim := time.Duration(thresholdPart * float64(c.Aim)); s.threshold == 0 || aim < s.threshold {
@@ -178,7 +178,7 @@
 	for i := range s.set.Plans {
 		p := &s.set.Plans[i]
 		if p.Weight <= 0 || p.Pays < 0 || p.Reserve < 0 || p.Limit < 0 || s.plans[p.Name] != nil {
-			return nil, fmt.Errorf("opalpitch: plan %q: bad figures, or listed twice", p.Name)
+			return nil, fmt.Errorf("gaugerelay: plan %q: bad figures, or listed twice", p.Name)
 		}
 		s.plans[p.Name] = p
 		s.meanWeight += p.Weight / float64(len(s.set.Plans))
