--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log"
 	"math"
@@ -12,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,10 +25,13 @@
 	"gaugerelay/internal/backend"
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
+	"gaugerelay/internal/core"
 	"gaugerelay/internal/discovery"
 	"gaugerelay/internal/httpfront"
 	"gaugerelay/internal/loop"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/sftpbackend"
+	"gaugerelay/internal/sftpfront"
 )
 
 const (
@@ -36,17 +41,25 @@
 
 func main() {
 	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds)
-	if err := run(); err != nil {
+	edge := flag.String("edge", "", "the operator's `file` for further fronts; none are on without it")
+	flag.Parse()
+	if err := run(*edge); err != nil {
 		fmt.Fprintln(os.Stderr, "gaugerelay:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(edgeFile string) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
+	edge := &config.Edge{}
+	if edgeFile != "" {
+		if edge, err = config.LoadEdge(edgeFile, &cfg.Settings); err != nil {
+			return err
+		}
+	}
 	limit(cfg)
 	scheduler, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
@@ -75,6 +88,13 @@
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(netutil.LimitListener(ln, max(1, cfg.Sockets*3/8))) }()
 	log.Printf("%s: listening on %s", cfg.Name, cfg.Listen)
+	endFiles := func() {}
+	if edge.Files != nil {
+		if endFiles, err = serveFiles(cfg, edge.Files, lp, sys, counts); err != nil {
+			return err
+		}
+		log.Printf("%s: file commands on %s", cfg.Name, edge.Files.Listen)
+	}
 
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
@@ -92,13 +112,36 @@
 			time.Sleep(keepMs * time.Millisecond)
 			server.SetKeepAlivesEnabled(false)
 			time.Sleep((acceptMs - keepMs) * time.Millisecond)
-			server.Shutdown(context.Background()) // all that was taken gets its answer
+			// All that was taken gets its answer.
+			var both sync.WaitGroup
+			both.Go(endFiles)
+			both.Go(func() { server.Shutdown(context.Background()) })
+			both.Wait()
 			counts.Print(os.Stderr)
 			return nil
 		}
 	}
 }
 
+// serveFiles starts the front for file commands; end stops it once all that was taken is answered.
+func serveFiles(cfg *config.Config, f *config.Files, lp *loop.Loop, c clock.Clock, m *metrics.Set) (end func(), err error) {
+	ln, err := net.Listen("tcp", f.Listen)
+	if err != nil {
+		return nil, err
+	}
+	back := sftpbackend.New(sftpbackend.Options{ConnectMs: cfg.ConnectMs, ConnIdleMs: cfg.ConnIdleMs,
+		MaxSessions: max(1, cfg.Sockets/16),
+		Address:     func(n *core.Node) (string, bool) { return f.Address(n.Name, n.Addr) }}, c, m, lp.Finish)
+	front := &sftpfront.Front{Loop: lp, Carrier: back, Clock: c, Metrics: m, Options: sftpfront.Options{
+		MaxConns: f.MaxConns, UnitBytes: f.UnitBytes, Read: f.Read, Write: f.Write,
+		Shards: cfg.Settings.Shards, MostUnits: cfg.Settings.MostUnits}}
+	for _, r := range f.Roots {
+		front.Roots = append(front.Roots, sftpfront.Root(r))
+	}
+	go front.Serve(ln)
+	return func() { ln.Close(); front.Shutdown(); back.Close() }, nil
+}
+
 // limit keeps the program inside what the platform gives it.
 func limit(cfg *config.Config) {
 	if cfg.Cores > 0 {
--- /dev/null
+++ b/internal/config/edge.go
@@ -0,0 +1,158 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	policy "gaugerelay"
+)
+
+// Edge is what an operator sets up beside the platform's configuration. Nil parts are off.
+type Edge struct{ Files *Files }
+
+// Files sets up the front for file commands.
+type Files struct {
+	Listen    string
+	MaxConns  int
+	UnitBytes float64
+	Read      policy.Class
+	Write     policy.Class
+	Roots     []FileRoot
+	Port      int               // of file commands, on the host of each node that Backends does not name
+	Backends  map[string]string // addresses by node id
+}
+
+// FileRoot is a part of the tree of paths and what it draws on.
+type FileRoot struct {
+	Path, Plan string
+	Volume     uint64
+	Hosts      int
+}
+
+// Address tells where a node takes file commands.
+func (f *Files) Address(node, addr string) (string, bool) {
+	if to, ok := f.Backends[node]; ok {
+		return to, true
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if f.Port == 0 || err != nil {
+		return "", false
+	}
+	return net.JoinHostPort(host, strconv.Itoa(f.Port)), true
+}
+
+// LoadEdge reads the operator's file.
+func LoadEdge(name string, set *policy.Settings) (*Edge, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	e, err := ParseEdge(text, set)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return e, nil
+}
+
+// ParseEdge reads the text: JSON in which lines that begin with // are comments.
+func ParseEdge(text []byte, set *policy.Settings) (*Edge, error) {
+	var plain []byte
+	for line := range bytes.Lines(text) {
+		if !bytes.HasPrefix(bytes.TrimSpace(line), []byte("//")) {
+			plain = append(plain, line...)
+		}
+	}
+	v, err := fastjson.ParseBytes(plain)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON with // comments: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("not an object")
+	}
+	e := &Edge{}
+	if s := v.Get("sftp"); s != nil {
+		if e.Files, err = files(s, set); err != nil {
+			return nil, fmt.Errorf("sftp: %w", err)
+		}
+	}
+	return e, nil
+}
+
+func hostPort(what, addr string) error {
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return fmt.Errorf("%s %q is not host:port", what, addr)
+	}
+	return nil
+}
+
+func files(v *fastjson.Value, set *policy.Settings) (*Files, error) {
+	r := &reader{}
+	f := &Files{Listen: r.str(v, "listen"), MaxConns: int(r.num(v, "max_connections")),
+		UnitBytes: r.num(v, "unit_bytes"), Port: int(r.num(v, "backend_port")), Backends: map[string]string{}}
+	if f.MaxConns == 0 {
+		f.MaxConns = 16
+	}
+	if f.UnitBytes == 0 {
+		f.UnitBytes = 16 << 10
+	}
+	errs := []error{hostPort("listen", f.Listen)}
+	for name, at := range map[string]*policy.Class{"read_class": &f.Read, "write_class": &f.Write} {
+		want, found := r.str(v, name), false
+		for _, c := range set.Classes {
+			if c.Name == want {
+				*at, found = c, true
+			}
+		}
+		if !found {
+			errs = append(errs, fmt.Errorf("%s: the settings have no class %q", name, want))
+		}
+	}
+	if f.Write.Effect == policy.Repeatable && f.Write.Name != "" {
+		errs = append(errs, fmt.Errorf("write_class: repeats of %q need no key, so writes would be repeated freely", f.Write.Name))
+	}
+	if f.Port > 65535 || f.MaxConns < 1 || f.MaxConns > 4096 || f.UnitBytes < 1 {
+		errs = append(errs, errors.New("backend_port, max_connections or unit_bytes is out of range"))
+	}
+	plans := map[string]bool{}
+	for _, p := range set.Plans {
+		plans[p.Name] = true
+	}
+	for _, x := range v.GetArray("roots") {
+		root := FileRoot{Path: r.str(x, "path"), Plan: r.str(x, "plan"), Hosts: int(r.num(x, "hosts"))}
+		volume, err := strconv.ParseUint(r.str(x, "volume"), 16, 64)
+		root.Volume = volume
+		if err != nil || !plans[root.Plan] || root.Path != path.Clean(root.Path) || !path.IsAbs(root.Path) {
+			errs = append(errs, fmt.Errorf("root %q: wants a clean absolute path, a volume in hex and a known plan", root.Path))
+		}
+		if root.Hosts == 0 {
+			root.Hosts = max(1, set.Siblings) // the volume's limit is dealt out over all gateways
+		}
+		f.Roots = append(f.Roots, root)
+	}
+	if len(f.Roots) == 0 {
+		errs = append(errs, errors.New("no roots"))
+	}
+	if o := v.GetObject("backends"); o != nil {
+		o.Visit(func(id []byte, addr *fastjson.Value) {
+			text := string(addr.GetStringBytes())
+			f.Backends[string(id)] = text
+			errs = append(errs, hostPort("backend "+string(id), text))
+		})
+	}
+	if f.Port == 0 && len(f.Backends) == 0 {
+		errs = append(errs, errors.New("neither backend_port nor backends"))
+	}
+	for _, err := range append(errs, r.err) {
+		if err != nil {
+			return nil, err // one plain line
+		}
+	}
+	return f, nil
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -116,3 +116,14 @@
 func (o outside) Probe(n *core.Node) { o.l.Prober(n) }
 func (o outside) Log(text string)    { log.Printf("module: %s", text) }
 func (o outside) Count(name string)  { o.l.Metrics.Add(name, 1) }
+
+// Sync returns once all that was handed in before it has been decided on.
+func (l *Loop) Sync() {
+	for range 2 { // the second is handled after the step that the first came before
+		done := make(chan struct{})
+		if !l.post(func(float64) { close(done) }) {
+			return
+		}
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/sftpbackend/backend.go
@@ -0,0 +1,365 @@
+// Package sftpbackend carries attempts to the file ports of storage nodes as SFTP version 3 packets over plain
+// TCP, and tells how each of them ended.
+package sftpbackend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strings"
+	"sync"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
+)
+
+// Op is what a command does.
+type Op uint8
+
+// The operations. Open checks, creates or truncates; the others open the file by themselves.
+const (
+	Open Op = iota
+	Read
+	Write
+	Stat
+)
+
+// Command is what a request sends to a node.
+type Command struct {
+	Op     Op
+	Path   string
+	Flags  uint32 // of an Open
+	Offset uint64
+	Length uint32 // of a Read
+	Data   []byte // of a Write
+	Key    string // upload key: nodes of one cell drop a repeat that carries it
+}
+
+// Reply is a node's answer to a command.
+type Reply struct {
+	Code  uint32
+	Text  string
+	Data  []byte
+	Attrs Attrs
+}
+
+// UploadKey and TimeLeft name the extended attributes that an OPEN carries.
+const (
+	UploadKey = "upload-key@gaugerelay"
+	TimeLeft  = "time-left-ms@gaugerelay"
+)
+
+// Unprocessed begins the message of an SSH_FX_FAILURE of a node that has turned a command away unrun. Version 3
+// has no code for that.
+const Unprocessed = "unprocessed"
+
+// Options are the limits of a Backend.
+type Options struct {
+	ConnectMs, ConnIdleMs float64
+	MaxSessions           int // connections open at once, to all nodes
+	// Address tells where a node takes file commands.
+	Address func(n *core.Node) (addr string, ok bool)
+}
+
+// Backend sends attempts over pooled sessions that carry one attempt at a time.
+type Backend struct {
+	opt     Options
+	clock   clock.Clock
+	metrics *metrics.Set
+	finish  func(core.Attempt, core.Result)
+
+	mu    sync.Mutex
+	idle  map[string][]*session
+	count int
+}
+
+// session is a connection past its INIT and VERSION.
+type session struct {
+	net.Conn
+	addr   string
+	lastID uint32
+	idleMs float64 // since when
+}
+
+// New returns a backend; finish takes the ends of attempts.
+func New(opt Options, c clock.Clock, m *metrics.Set, finish func(core.Attempt, core.Result)) *Backend {
+	return &Backend{opt: opt, clock: c, metrics: m, finish: finish, idle: map[string][]*session{}}
+}
+
+// Start implements core.Carrier.
+func (b *Backend) Start(a core.Attempt) func() {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		stop := b.clock.AfterFunc(a.DeadlineMs-b.clock.NowMs(), func() { cancel(context.DeadlineExceeded) })
+		defer stop()
+		defer cancel(nil)
+		b.attempt(ctx, a)
+	}()
+	return func() { cancel(context.Canceled) }
+}
+
+var (
+	errCapped  = errors.New("no more sessions allowed")
+	errDrained = errors.New("the node drains or is gone")
+)
+
+// attempt runs one attempt to its end. An attempt that never ran is reported as Full, also where the connection
+// failed: the file port may be down while the node serves others well, and ConnectFailed would make the module
+// hold the node back for all of them.
+func (b *Backend) attempt(ctx context.Context, a core.Attempt) {
+	cmd := a.Request.Load.(*Command)
+	addr, ok := b.opt.Address(a.Node)
+	if !ok || a.Node.Closed() {
+		b.finish(a, core.Result{Status: policy.Full})
+		return
+	}
+	s, err := b.session(ctx, addr)
+	if err != nil {
+		b.metrics.Add("file_connects_failed", 1)
+		b.finish(a, core.Result{Status: b.ended(ctx, false)})
+		return
+	}
+	// Closing the connection is how an attempt is given up.
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	reply, handle, ran, err := s.run(cmd, a, max(1, math.Floor(a.DeadlineMs-b.clock.NowMs())))
+	switch {
+	case err != nil && !errors.Is(err, errMalformed):
+		b.finish(a, core.Result{Status: b.ended(ctx, ran)})
+	case err != nil:
+		b.metrics.Add("file_answers_malformed", 1)
+		b.finish(a, core.Result{Status: policy.Error})
+	case reply.Code == StatusFailure && strings.HasPrefix(reply.Text, Unprocessed):
+		b.finish(a, core.Result{Status: policy.Full})
+	case reply.Code == StatusFailure || reply.Code == StatusBadMessage:
+		b.finish(a, core.Result{Status: policy.Error})
+	default: // the node has done its work, also where it tells that there is no such file
+		b.finish(a, core.Result{Status: policy.OK, Body: reply})
+	}
+	if err == nil && handle != nil { // its answer is out; the session serves again once the handle is closed
+		_, _, err = s.call(newPacket(typeClose, s.next()).text(string(handle)))
+	}
+	if !stop() || err != nil {
+		b.drop(s)
+		return
+	}
+	s.idleMs = b.clock.NowMs()
+	b.mu.Lock()
+	b.idle[addr] = append(b.idle[addr], s)
+	b.mu.Unlock()
+}
+
+// ended tells how an attempt without an answer ended.
+func (b *Backend) ended(ctx context.Context, ran bool) policy.Status {
+	switch cause := context.Cause(ctx); {
+	case !ran:
+		return policy.Full
+	case errors.Is(cause, context.DeadlineExceeded):
+		return policy.TimedOut
+	case cause != nil:
+		return policy.Cancelled
+	}
+	return policy.Reset
+}
+
+// session takes an idle session or opens one.
+func (b *Backend) session(ctx context.Context, addr string) (*session, error) {
+	b.mu.Lock()
+	now := b.clock.NowMs()
+	for list := b.idle[addr]; len(list) > 0; list = b.idle[addr] {
+		s := list[len(list)-1]
+		b.idle[addr] = list[:len(list)-1]
+		if now-s.idleMs < b.opt.ConnIdleMs*0.6 { // under the node's own idle time
+			b.mu.Unlock()
+			return s, nil
+		}
+		b.count--
+		s.Close()
+	}
+	if b.count >= b.opt.MaxSessions {
+		b.evict()
+	}
+	if b.count >= b.opt.MaxSessions {
+		b.mu.Unlock()
+		return nil, errCapped
+	}
+	b.count++
+	b.mu.Unlock()
+	d := net.Dialer{Timeout: clock.Duration(b.opt.ConnectMs), KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		b.mu.Lock()
+		b.count--
+		b.mu.Unlock()
+		return nil, err
+	}
+	s := &session{Conn: c, addr: addr}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	err = s.greet()
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		b.drop(s)
+		return nil, err
+	}
+	return s, nil
+}
+
+// evict closes an idle session, of whatever node, to make room. b.mu is held.
+func (b *Backend) evict() {
+	for addr, list := range b.idle {
+		if len(list) > 0 {
+			list[0].Close()
+			b.idle[addr] = list[1:]
+			b.count--
+			return
+		}
+	}
+}
+
+func (b *Backend) drop(s *session) {
+	s.Close()
+	b.mu.Lock()
+	b.count--
+	b.mu.Unlock()
+}
+
+// Close closes the idle sessions.
+func (b *Backend) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for addr, list := range b.idle {
+		for _, s := range list {
+			s.Close()
+			b.count--
+		}
+		delete(b.idle, addr)
+	}
+}
+
+func (s *session) next() uint32 { s.lastID++; return s.lastID }
+
+// greet exchanges INIT and VERSION.
+func (s *session) greet() error {
+	if _, err := s.Write(newPacket(typeInit, version).done()); err != nil {
+		return err
+	}
+	typ, _, err := readPacket(s)
+	if err == nil && typ != typeVersion {
+		err = errMalformed
+	}
+	return err
+}
+
+// errUnwritten marks a packet whose last byte did not go out.
+type errUnwritten struct{ error }
+
+// call sends a packet and reads its answer.
+func (s *session) call(p packet) (typ byte, f *fields, err error) {
+	if _, err := s.Write(p.done()); err != nil {
+		return 0, nil, errUnwritten{err}
+	}
+	typ, body, err := readPacket(s)
+	if err != nil {
+		return 0, nil, err
+	}
+	f = &fields{b: body}
+	if id := f.u32(); f.err == nil && id != s.lastID {
+		return 0, nil, fmt.Errorf("%w: an answer to packet %d", errMalformed, id)
+	}
+	return typ, f, f.err
+}
+
+// run sends a command. ran tells whether its own packet (not the OPEN before a READ or WRITE, which changes
+// nothing) has been written whole.
+func (s *session) run(cmd *Command, a core.Attempt, leftMs float64) (rep *Reply, handle []byte, ran bool, err error) {
+	if cmd.Op == Stat {
+		typ, f, err := s.call(newPacket(typeStat, s.next()).text(cmd.Path))
+		ran = written(err)
+		if err != nil {
+			return nil, nil, ran, err
+		}
+		rep, err = reply(typ, f)
+		return rep, nil, ran, err
+	}
+	flags := cmd.Flags
+	switch cmd.Op {
+	case Read:
+		flags = FlagRead
+	case Write:
+		flags = FlagWrite
+	}
+	open := newPacket(typeOpen, s.next()).text(cmd.Path).u32(flags).u32(attrExtended)
+	if cmd.Key != "" {
+		open = open.u32(2).text(UploadKey).text(cmd.Key)
+	} else {
+		open = open.u32(1)
+	}
+	typ, f, err := s.call(open.text(TimeLeft).text(fmt.Sprint(leftMs)))
+	ran = cmd.Op == Open && written(err)
+	if err != nil {
+		return nil, nil, ran, err
+	}
+	if typ != typeHandle {
+		if rep, err = reply(typ, f); err == nil && rep.Code == StatusOK {
+			err = errMalformed // an OPEN that succeeds has a handle
+		}
+		return rep, nil, ran, err
+	}
+	if handle = f.bytes(); f.err != nil || len(handle) > 256 {
+		return nil, nil, ran, errMalformed
+	}
+	rep = &Reply{}
+	if cmd.Op == Open {
+		return rep, handle, ran, nil
+	}
+	if a.Node.Closed() { // told while the OPEN was out: nothing new goes to the node
+		return nil, nil, false, errDrained
+	}
+	var p packet
+	if cmd.Op == Read {
+		p = newPacket(typeRead, s.next()).text(string(handle)).u64(cmd.Offset).u32(cmd.Length)
+	} else {
+		p = newPacket(typeWrite, s.next()).text(string(handle)).u64(cmd.Offset).text(string(cmd.Data))
+	}
+	typ, f, err = s.call(p)
+	ran = written(err)
+	if err != nil {
+		return nil, nil, ran, err
+	}
+	if rep, err = reply(typ, f); err == nil && typ == typeData &&
+		(cmd.Op != Read || len(rep.Data) > int(cmd.Length)) {
+		err = errMalformed // data that was not asked for
+	}
+	return rep, handle, ran, err
+}
+
+func written(err error) bool {
+	var cut errUnwritten
+	return !errors.As(err, &cut)
+}
+
+// reply reads the answer to a command.
+func reply(typ byte, f *fields) (*Reply, error) {
+	r := &Reply{}
+	switch typ {
+	case typeStatus:
+		r.Code = f.u32()
+		if len(f.b) > 0 { // some servers leave the text out
+			text := f.bytes()
+			r.Text = string(text[:min(len(text), maxNameLength)])
+		}
+	case typeData:
+		r.Data = f.bytes()
+	case typeAttrs:
+		r.Attrs = f.attrs()
+	default:
+		return nil, errMalformed
+	}
+	return r, f.err
+}
--- /dev/null
+++ b/internal/sftpfront/front.go
@@ -0,0 +1,394 @@
+// Package sftpfront takes file commands (SFTP version 3 packets over plain TCP, without the cryptography) and
+// hands each READ and WRITE to the core as a request of its own.
+//
+// The packets are handled by github.com/pkg/sftp's RequestServer. How answers map to status codes:
+//
+//	SSH_FX_OK, SSH_FX_EOF, SSH_FX_NO_SUCH_FILE,
+//	SSH_FX_PERMISSION_DENIED, SSH_FX_OP_UNSUPPORTED  as the node answered
+//	SSH_FX_NO_SUCH_FILE                              the path is under no root
+//	SSH_FX_FAILURE "busy, ... retry after N ms"      refused: it has not taken effect
+//	SSH_FX_FAILURE "failed ..."                      failed, or no answer in time: it may have taken effect
+//	SSH_FX_BAD_MESSAGE                               malformed: over 64 KiB, a negative offset, a NUL in a path
+//	SSH_FX_OP_UNSUPPORTED                            commands that are not served, and appending
+package sftpfront
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log"
+	"math"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/sftp"
+	"golang.org/x/net/netutil"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/sftpbackend"
+)
+
+const (
+	idleTime   = 5 * time.Minute  // between packets
+	packetTime = 10 * time.Second // for the rest of a packet, and for a client to take an answer
+	guardMs    = 25               // after the module should have answered the front gives up by itself
+	maxRepeats = 64               // failed writes remembered for each handle
+)
+
+// Root is a part of the tree of paths and what it draws on.
+type Root struct {
+	Path, Plan string
+	Volume     uint64
+	Hosts      int // gateways that the volume's requests, of all fronts, come through
+}
+
+// Options set up a Front.
+type Options struct {
+	MaxConns  int
+	UnitBytes float64 // data of a command that counts one unit
+	Read      policy.Class
+	Write     policy.Class
+	Roots     []Root
+	Shards    int
+	MostUnits float64
+}
+
+// Loop is what the front asks of the loop.
+type Loop interface {
+	Offer(*core.Request) bool
+	Gone(*core.Request)
+}
+
+// Front serves file commands.
+type Front struct {
+	Options
+	Loop    Loop
+	Carrier core.Carrier
+	Clock   clock.Clock
+	Metrics *metrics.Set
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	ending bool
+	wg     sync.WaitGroup
+}
+
+// Serve takes connections until the listener closes.
+func (f *Front) Serve(ln net.Listener) error {
+	ln = netutil.LimitListener(ln, f.MaxConns)
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		f.wg.Add(1)
+		go f.serve(c)
+	}
+}
+
+// Shutdown closes idle connections, lets the others finish what they have taken, and waits for them. The
+// listener must be closed before.
+func (f *Front) Shutdown() {
+	f.mu.Lock()
+	f.ending = true
+	for c := range f.conns {
+		c.endReading()
+	}
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
+func (f *Front) serve(nc net.Conn) {
+	defer f.wg.Done()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := newConn(nc, cancel)
+	f.mu.Lock()
+	if f.conns == nil {
+		f.conns = map[*conn]bool{}
+	}
+	f.conns[c] = true
+	if f.ending {
+		c.endReading()
+	}
+	f.mu.Unlock()
+	defer func() {
+		nc.Close()
+		f.mu.Lock()
+		delete(f.conns, c)
+		f.mu.Unlock()
+	}()
+	f.Metrics.Add("file_connections", 1)
+	h := &handler{f, ctx}
+	err := sftp.NewRequestServer(c, sftp.Handlers{FileGet: h, FilePut: h, FileCmd: h, FileList: h},
+		sftp.WithRSMaxTxPacket(sftpbackend.MaxData)).Serve()
+	c.drain() // the library's writer may still have answers in hand
+	if cut, typ := c.in.cut(); cut {
+		// Its end is this one: it was never whole, so it never became a request, and its client is gone.
+		f.Metrics.Add("file_commands_cut_off", 1)
+		log.Printf("sftp: %s: cut off inside a packet of type %d", nc.RemoteAddr(), typ)
+	} else if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && // with handles left open
+		!errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		log.Printf("sftp: %s: %v", nc.RemoteAddr(), err)
+	}
+}
+
+// handler serves one connection.
+type handler struct {
+	*Front
+	ctx context.Context // ends when the client has gone
+}
+
+// errNotServed is the answer to commands that the depot has no use for.
+var errNotServed = fmt.Errorf("not served here: %w", sftp.ErrSSHFxOpUnsupported)
+
+// Filecmd implements sftp.FileCmder.
+func (h *handler) Filecmd(*sftp.Request) error { return errNotServed }
+
+// Filelist implements sftp.FileLister.
+func (h *handler) Filelist(r *sftp.Request) (sftp.ListerAt, error) {
+	if r.Method != "Stat" {
+		return nil, errNotServed
+	}
+	rep, err := h.do(r.Filepath, &sftpbackend.Command{Op: sftpbackend.Stat})
+	if err != nil {
+		return nil, err
+	}
+	return stat{path.Base(r.Filepath), rep.Attrs}, nil
+}
+
+// Lstat implements sftp.LstatFileLister: there are no links.
+func (h *handler) Lstat(r *sftp.Request) (sftp.ListerAt, error) {
+	r.Method = "Stat"
+	return h.Filelist(r)
+}
+
+// Fileread implements sftp.FileReader.
+func (h *handler) Fileread(r *sftp.Request) (io.ReaderAt, error) { return h.open(r) }
+
+// Filewrite implements sftp.FileWriter.
+func (h *handler) Filewrite(r *sftp.Request) (io.WriterAt, error) { return h.open(r) }
+
+// OpenFile implements sftp.OpenFileWriter.
+func (h *handler) OpenFile(r *sftp.Request) (sftp.WriterAtReaderAt, error) { return h.open(r) }
+
+// open opens a file at its node, so that a missing one is told now.
+func (h *handler) open(r *sftp.Request) (*file, error) {
+	if r.Pflags().Append { // a repeat would append twice, which no offset can prevent
+		return nil, fmt.Errorf("appending: %w", sftp.ErrSSHFxOpUnsupported)
+	}
+	cmd := &sftpbackend.Command{Op: sftpbackend.Open, Flags: r.Flags}
+	if r.Flags&^sftpbackend.FlagRead != 0 {
+		cmd.Key = newKey()
+	}
+	if _, err := h.do(r.Filepath, cmd); err != nil {
+		return nil, err
+	}
+	return &file{h: h, path: r.Filepath, flags: r.Flags, last: map[int64]written{}}, nil
+}
+
+// do hands a command to the core and waits for its one answer.
+func (h *handler) do(name string, cmd *sftpbackend.Command) (*sftpbackend.Reply, error) {
+	req, err := h.request(name, cmd)
+	if err != nil {
+		h.Metrics.Add("file_commands_malformed", 1)
+		return nil, err
+	}
+	answers := make(chan core.Answer, 1)
+	req.Reply = func(a core.Answer) { answers <- a }
+	if !h.Loop.Offer(req) {
+		h.Metrics.Add("requests_inbox_full", 1)
+		return nil, busy(250)
+	}
+	late := make(chan struct{})
+	defer h.Clock.AfterFunc(req.LeftMs+guardMs, func() { close(late) })()
+	select {
+	case a := <-answers:
+		return result(a)
+	case <-h.ctx.Done():
+		h.Loop.Gone(req)
+		return nil, errMayHaveRun
+	case <-late:
+		h.Metrics.Add("answers_by_guard", 1)
+		h.Loop.Gone(req)
+		return nil, errMayHaveRun
+	}
+}
+
+var errMayHaveRun = fmt.Errorf("failed, it may have taken effect: %w", sftp.ErrSSHFxFailure)
+
+func busy(ms float64) error {
+	return fmt.Errorf("busy, nothing was done, retry after %.0f ms: %w", max(1, ms), sftp.ErrSSHFxFailure)
+}
+
+// result turns the core's answer into the client's.
+func result(a core.Answer) (*sftpbackend.Reply, error) {
+	switch a.Verdict {
+	case core.Refused:
+		return nil, busy(a.ComeBackMs)
+	case core.Failed:
+		return nil, errMayHaveRun
+	}
+	rep := a.Result.(*sftpbackend.Reply)
+	codes := map[uint32]error{sftpbackend.StatusOK: nil, sftpbackend.StatusEOF: io.EOF,
+		sftpbackend.StatusNoSuchFile: sftp.ErrSSHFxNoSuchFile, sftpbackend.StatusUnsupported: sftp.ErrSSHFxOpUnsupported,
+		sftpbackend.StatusPermissionDenied: sftp.ErrSSHFxPermissionDenied}
+	err, known := codes[rep.Code]
+	if !known {
+		err = sftp.ErrSSHFxFailure
+	}
+	return rep, err
+}
+
+// request makes a core request of a command. READ, STAT and an OPEN for reading are of the reading class, the
+// others of the writing one.
+func (h *handler) request(name string, cmd *sftpbackend.Command) (*core.Request, error) {
+	name = path.Clean("/" + name) // the library cleans too; nothing climbs above the root
+	root := h.root(name)
+	switch {
+	case strings.ContainsRune(name, 0) || len(name) > 4096:
+		return nil, fmt.Errorf("path: %w", sftp.ErrSSHFxBadMessage)
+	case root == nil:
+		return nil, fmt.Errorf("under no root: %w", sftp.ErrSSHFxNoSuchFile)
+	case len(cmd.Data) > sftpbackend.MaxData || cmd.Offset > math.MaxInt64:
+		return nil, fmt.Errorf("over 64 KiB, or a bad offset: %w", sftp.ErrSSHFxBadMessage)
+	}
+	cmd.Path = name
+	class := &h.Read
+	if cmd.Key != "" {
+		class = &h.Write
+	}
+	sum := fnv.New64a()
+	io.WriteString(sum, name)
+	key := sum.Sum64()
+	units := math.Ceil(float64(len(cmd.Data)+int(cmd.Length)) / h.UnitBytes)
+	return &core.Request{Class: class.Name, Plan: root.Plan, Volume: root.Volume, Key: key,
+		LeftMs: clock.Ms(class.Deadline), Units: min(max(1, units), max(1, h.MostUnits)),
+		Shard: int(key % uint64(max(1, h.Shards))), Hosts: root.Hosts, Carrier: h.Carrier, Load: cmd}, nil
+}
+
+// root finds the longest root that holds a path.
+func (h *handler) root(name string) (best *Root) {
+	for i := range h.Roots {
+		r := &h.Roots[i]
+		if (r.Path == "/" || name == r.Path || strings.HasPrefix(name, r.Path+"/")) &&
+			(best == nil || len(r.Path) > len(best.Path)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// newKey makes an upload key.
+func newKey() string {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], rand.Uint64())
+	binary.BigEndian.PutUint64(b[8:], rand.Uint64())
+	return hex.EncodeToString(b[:])
+}
+
+// written is the last WRITE at an offset.
+type written struct {
+	sum  [sha256.Size]byte
+	size int
+	key  string
+	atMs float64
+}
+
+// file is an open handle. Commands on it run side by side.
+type file struct {
+	h     *handler
+	path  string
+	flags uint32
+	mu    sync.Mutex
+	last  map[int64]written // writes that failed and may have run, by offset
+}
+
+// ReadAt implements io.ReaderAt: one READ is one request.
+func (f *file) ReadAt(p []byte, off int64) (int, error) {
+	if f.flags&sftpbackend.FlagRead == 0 {
+		return 0, fmt.Errorf("not open for reading: %w", sftp.ErrSSHFxPermissionDenied)
+	}
+	rep, err := f.h.do(f.path, &sftpbackend.Command{Op: sftpbackend.Read, Offset: uint64(off), Length: uint32(len(p))})
+	if err != nil {
+		return 0, err
+	}
+	n := copy(p, rep.Data)
+	if n < len(p) {
+		err = io.EOF // the library answers a short one with the data alone
+	}
+	return n, err
+}
+
+// WriteAt implements io.WriterAt: one WRITE is one request.
+func (f *file) WriteAt(p []byte, off int64) (int, error) {
+	if f.flags&sftpbackend.FlagWrite == 0 {
+		return 0, fmt.Errorf("not open for writing: %w", sftp.ErrSSHFxPermissionDenied)
+	}
+	w := f.keyFor(p, off)
+	_, err := f.h.do(f.path, &sftpbackend.Command{Op: sftpbackend.Write, Offset: uint64(off), Data: p, Key: w.key})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		delete(f.last, off)
+		return len(p), nil
+	}
+	if len(f.last) < maxRepeats {
+		f.last[off] = w
+	}
+	return 0, err
+}
+
+// keyFor gives a WRITE its upload key. A client that sends a failed WRITE once more, unchanged, means the same
+// upload: it keeps its key while the nodes of the cell remember it. Any other WRITE gets a fresh one, since what
+// has been overwritten in between must be written again.
+func (f *file) keyFor(p []byte, off int64) written {
+	w := written{sum: sha256.Sum256(p), size: len(p), atMs: f.h.Clock.NowMs()}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old, ok := f.last[off]; ok && old.sum == w.sum && w.atMs-old.atMs < clock.Ms(f.h.Write.DedupWindow) {
+		return old
+	}
+	for at, old := range f.last { // overwritten: it must not be taken for a repeat any more
+		if at < off+int64(len(p)) && off < at+int64(old.size) {
+			delete(f.last, at)
+		}
+	}
+	w.key = newKey()
+	return w
+}
+
+// stat is the one entry that a STAT answers.
+type stat struct {
+	name string
+	sftpbackend.Attrs
+}
+
+func (s stat) ListAt(out []os.FileInfo, at int64) (int, error) {
+	if at > 0 || len(out) == 0 {
+		return 0, io.EOF
+	}
+	out[0] = s
+	return 1, nil
+}
+
+func (s stat) Name() string       { return s.name }
+func (s stat) Size() int64        { return int64(s.Attrs.Size) }
+func (s stat) Mode() os.FileMode  { return os.FileMode(s.Attrs.Mode & 0o777) }
+func (s stat) ModTime() time.Time { return time.Unix(int64(s.Mtime), 0) }
+func (s stat) IsDir() bool        { return false }
+func (s stat) Sys() any           { return nil }
--- /dev/null
+++ b/internal/sftpfront/front_test.go
@@ -0,0 +1,545 @@
+package sftpfront_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/sftp"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/loop"
+	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/sftpbackend"
+	"gaugerelay/internal/sftpfront"
+	"gaugerelay/internal/standin"
+)
+
+// rig is a gateway with its file front before one stand-in file server.
+type rig struct {
+	t      *testing.T
+	clock  *clock.Manual
+	loop   *loop.Loop
+	counts *metrics.Set
+	files  *standin.FileServer
+	front  *sftpfront.Front
+	ln     net.Listener
+}
+
+const start = 1.7e12 // ms
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	set := standin.Settings(1)
+	scheduler, err := policy.New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, clock: clock.NewManual(start), counts: metrics.New(), files: standin.NewFileServer(t), ln: standin.Listen(t)}
+	r.loop = loop.New(scheduler, r.clock, r.counts)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go r.loop.Run(ctx)
+	r.list(policy.Live)
+	back := sftpbackend.New(sftpbackend.Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 64,
+		Address: func(*core.Node) (string, bool) { return r.files.Addr, true }}, r.clock, r.counts, r.loop.Finish)
+	r.front = &sftpfront.Front{Loop: r.loop, Carrier: back, Clock: r.clock, Metrics: r.counts,
+		Options: sftpfront.Options{MaxConns: 32, UnitBytes: 1024, Read: set.Classes[0], Write: set.Classes[1], Shards: 1,
+			MostUnits: set.MostUnits, Roots: []sftpfront.Root{{Path: "/layers", Plan: "business", Volume: 7, Hosts: 1}}}}
+	go r.front.Serve(r.ln)
+	return r
+}
+
+func (r *rig) list(state policy.NodeState) {
+	r.loop.Nodes(core.List{Scope: policy.Whole, Nodes: []*core.Node{{Name: "n0", Addr: "127.0.0.1:1", State: state}}})
+	r.loop.Sync()
+}
+
+func (r *rig) dial() net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.ln.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (r *rig) client() *sftp.Client {
+	r.t.Helper()
+	c := r.dial()
+	cl, err := sftp.NewClientPipe(c, c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return cl
+}
+
+// until waits for a condition that must come true; it asserts nothing on how soon.
+func (r *rig) until(cond func() bool) {
+	for !cond() {
+		r.loop.Sync()
+	}
+}
+
+// while lets the clock go on in small steps until a command has its answer. Nothing is out then but what is held.
+func (r *rig) while(done chan error) error {
+	for {
+		select {
+		case err := <-done:
+			return err
+		default:
+			r.loop.Sync()
+			if r.counts.Get("attempts_started") == ended(r.counts) {
+				r.clock.Advance(5)
+			}
+		}
+	}
+}
+
+// ended counts the ends of attempts.
+func ended(m *metrics.Set) (n int64) {
+	for _, how := range []string{"ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"} {
+		n += m.Get("attempts_" + how)
+	}
+	return n
+}
+
+func code(err error) uint32 {
+	var s *sftp.StatusError
+	switch {
+	case errors.As(err, &s):
+		return s.Code
+	case errors.Is(err, os.ErrNotExist):
+		return sftpbackend.StatusNoSuchFile
+	case errors.Is(err, os.ErrPermission):
+		return sftpbackend.StatusPermissionDenied
+	}
+	return 0
+}
+
+func TestWriteReadStat(t *testing.T) {
+	r := newRig(t)
+	cl := r.client()
+	f, err := cl.OpenFile("/layers/a.tar", os.O_RDWR|os.O_CREATE)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := bytes.Repeat([]byte("layer"), 1000)
+	if _, err := f.WriteAt(data, 3); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(data))
+	if _, err := f.ReadAt(got, 3); err != nil || !bytes.Equal(got, data) {
+		t.Fatalf("read back %d bytes: %v", len(got), err)
+	}
+	if st, err := cl.Stat("/layers/a.tar"); err != nil || st.Size() != 5003 {
+		t.Errorf("stat: %v %v", st, err)
+	}
+	if r.counts.Get("requests_taken") != 4 || r.counts.Get("answers_served") != 4 {
+		t.Errorf("OPEN, WRITE, READ and STAT made %d requests, %d served", r.counts.Get("requests_taken"), r.counts.Get("answers_served"))
+	}
+}
+
+func TestWhatIsNotServedNeverReachesTheModule(t *testing.T) {
+	r := newRig(t)
+	cl := r.client()
+	for what, c := range map[string]struct {
+		err  error
+		want uint32
+	}{
+		"no root":      {second(cl.Open("/etc/passwd")), sftpbackend.StatusNoSuchFile},
+		"path escape":  {second(cl.Open("/layers/../etc/passwd")), sftpbackend.StatusNoSuchFile},
+		"climbing out": {second(cl.Open("../../layers/../x")), sftpbackend.StatusNoSuchFile},
+		"like a root":  {second(cl.Open("/layers2/x")), sftpbackend.StatusNoSuchFile},
+		"NUL":          {second(cl.Open("/layers/a\x00b")), sftpbackend.StatusBadMessage},
+		"append":       {second(cl.OpenFile("/layers/a", os.O_WRONLY|os.O_APPEND)), sftpbackend.StatusUnsupported},
+		"mkdir":        {cl.Mkdir("/layers/a"), sftpbackend.StatusUnsupported},
+		"list":         {second(cl.ReadDir("/layers")), sftpbackend.StatusUnsupported},
+		"rename":       {cl.Rename("/layers/a", "/layers/b"), sftpbackend.StatusUnsupported},
+	} {
+		if c.err == nil || code(c.err) != c.want {
+			t.Errorf("%s: %v, want code %d", what, c.err, c.want)
+		}
+	}
+	if n := r.counts.Get("requests_taken"); n != 0 {
+		t.Errorf("%d requests reached the module", n)
+	}
+	if _, err := cl.Open("/layers/none"); code(err) != sftpbackend.StatusNoSuchFile {
+		t.Errorf("a missing file: %v", err)
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
+
+// raw speaks packets by hand.
+type raw struct {
+	t *testing.T
+	net.Conn
+}
+
+func (c raw) send(typ byte, body []byte) {
+	p := binary.BigEndian.AppendUint32(nil, uint32(len(body)+1))
+	if _, err := c.Write(append(append(p, typ), body...)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c raw) status() uint32 {
+	c.t.Helper()
+	var head [13]byte // length, type, id, code
+	if _, err := io.ReadFull(c, head[:]); err != nil || head[4] != 101 {
+		c.t.Fatalf("type %d: %v", head[4], err)
+	}
+	io.CopyN(io.Discard, c, int64(binary.BigEndian.Uint32(head[:]))-9)
+	return binary.BigEndian.Uint32(head[9:])
+}
+
+func TestUnknownHandle(t *testing.T) {
+	r := newRig(t)
+	c := raw{t, r.dial()}
+	body := binary.BigEndian.AppendUint32(nil, 1)
+	body = append(binary.BigEndian.AppendUint32(body, 2), "99"...)
+	c.send(5, append(body, make([]byte, 12)...)) // READ
+	if got := c.status(); got != sftpbackend.StatusFailure {
+		t.Errorf("code %d", got)
+	}
+	if n := r.counts.Get("requests_taken"); n != 0 {
+		t.Errorf("%d requests reached the module", n)
+	}
+}
+
+// A packet over the limit ends its connection unread; others go on.
+func TestOversizedPacket(t *testing.T) {
+	r := newRig(t)
+	c := raw{t, r.dial()}
+	c.Write(append(binary.BigEndian.AppendUint32(nil, sftpbackend.MaxPacket+1), 6))
+	if n, err := c.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes came back", n)
+	}
+	if _, err := r.client().Stat("/layers/none"); code(err) != sftpbackend.StatusNoSuchFile {
+		t.Errorf("another connection: %v", err)
+	}
+}
+
+// A WRITE cut off inside its packet never becomes a request, and is counted once.
+func TestWriteCutOffMidPacket(t *testing.T) {
+	r := newRig(t)
+	r.files.Put("/layers/a", []byte("old"))
+	c := raw{t, r.dial()}
+	c.Write(append(binary.BigEndian.AppendUint32(nil, 5000), 6, 0, 0, 0, 9, 0, 0, 0, 1, '1'))
+	c.Close()
+	r.until(func() bool { return r.counts.Get("file_commands_cut_off") > 0 })
+	if n := r.counts.Get("file_commands_cut_off"); n != 1 {
+		t.Errorf("%d ends", n)
+	}
+	if n := r.counts.Get("requests_taken"); n != 0 || len(r.files.Log()) != 0 || string(r.files.File("/layers/a")) != "old" {
+		t.Errorf("%d requests taken, the file server saw %v", n, r.files.Log())
+	}
+}
+
+// A client that disconnects while its READ is out is a drop: no answer, one end, and the node's answer is taken in.
+func TestEarlyDisconnect(t *testing.T) {
+	r := newRig(t)
+	r.files.Put("/layers/a", []byte("data"))
+	reached, release := make(chan struct{}), make(chan struct{})
+	r.files.Answer = func(c standin.Command) error {
+		if c.Op == "read" {
+			close(reached)
+			<-release
+		}
+		return nil
+	}
+	c := r.dial()
+	cl, err := sftp.NewClientPipe(c, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := cl.Open("/layers/a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go f.ReadAt(make([]byte, 4), 0)
+	<-reached
+	c.Close()
+	r.until(func() bool { return r.counts.Get("requests_dropped") == 1 })
+	close(release)
+	r.until(func() bool { return r.counts.Get("attempts_ok") == 2 })
+	if got := r.counts.Get("answers_served"); got != 1 || r.loop.Open() != 0 {
+		t.Errorf("%d served (the OPEN alone was due), %d open", got, r.loop.Open())
+	}
+}
+
+// The gateway sends a WRITE that failed once more under the same upload key, so that the node applies it once;
+// and a client that repeats a WRITE told as failed keeps its key too, but not after overwriting it.
+func TestRepeatedWriteKeepsItsKey(t *testing.T) {
+	r := newRig(t)
+	r.files.Put("/layers/a", nil)
+	var failures atomic.Int32
+	r.files.After = func(c standin.Command) error {
+		if c.Op == "write" && failures.Add(-1) >= 0 {
+			return errors.New("no answer made it out")
+		}
+		return nil
+	}
+	f, err := r.client().OpenFile("/layers/a", os.O_WRONLY)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string, failing int32) error {
+		failures.Store(failing)
+		done := make(chan error, 1)
+		go func() { _, err := f.WriteAt([]byte(text), 0); done <- err }()
+		return r.while(done) // further attempts come after a pause
+	}
+	keys := func() (keys []string) {
+		for _, c := range r.files.Log() {
+			if c.Op == "write" {
+				keys = append(keys, c.Key)
+			}
+		}
+		return keys
+	}
+	if err := write("A", 1); err != nil {
+		t.Fatal(err)
+	}
+	if k := keys(); len(k) != 2 || k[0] == "" || k[0] != k[1] {
+		t.Fatalf("the gateway's repeat: keys %q", k)
+	}
+	if err := write("B", 3); err == nil || !strings.Contains(err.Error(), "may have taken effect") {
+		t.Fatalf("three failures: %v", err)
+	}
+	before := len(keys())
+	if err := write("B", 0); err != nil {
+		t.Fatal(err)
+	}
+	if k := keys(); k[before] != k[before-1] || string(r.files.File("/layers/a")) != "B" {
+		t.Errorf("the client's repeat: keys %q, file %q", k, r.files.File("/layers/a"))
+	}
+	if err := write("A", 0); err != nil || string(r.files.File("/layers/a")) != "A" {
+		t.Errorf("written again after B: %q, %v", r.files.File("/layers/a"), err)
+	}
+}
+
+// A refusal says when to come back, and a drained node gets nothing.
+func TestRefusalOnADrain(t *testing.T) {
+	r := newRig(t)
+	r.list(policy.Draining)
+	done := make(chan error, 1)
+	go func() { _, err := r.client().Open("/layers/a"); done <- err }()
+	r.until(func() bool { return r.counts.Get("requests_taken") == 1 })
+	err := r.while(done)
+	if code(err) != sftpbackend.StatusFailure || !strings.Contains(err.Error(), "retry after ") {
+		t.Errorf("%v", err)
+	}
+	if log := r.files.Log(); len(log) != 0 {
+		t.Errorf("the node saw %v", log)
+	}
+}
+
+// A node that does not answer: a WRITE is failed at its deadline and says that it may have taken effect.
+func TestDeadline(t *testing.T) {
+	r := newRig(t)
+	r.files.Put("/layers/a", nil)
+	f, err := r.client().OpenFile("/layers/a", os.O_WRONLY)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reached, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	var once sync.Once
+	r.files.Answer = func(c standin.Command) error {
+		if c.Op == "write" {
+			once.Do(func() { close(reached) })
+			<-release
+		}
+		return nil
+	}
+	done := make(chan error, 1)
+	go func() { _, err := f.WriteAt([]byte("x"), 0); done <- err }()
+	<-reached
+	r.clock.Advance(3100)
+	if err := <-done; code(err) != sftpbackend.StatusFailure || !strings.Contains(err.Error(), "may have taken effect") {
+		t.Errorf("%v", err)
+	}
+	r.until(func() bool { return r.counts.Get("attempts_timed_out") == 1 })
+}
+
+// A stop answers what was read whole.
+func TestShutdownAnswersWhatWasTaken(t *testing.T) {
+	r := newRig(t)
+	r.files.Put("/layers/a", []byte("data"))
+	f, err := r.client().Open("/layers/a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reached, release := make(chan struct{}), make(chan struct{})
+	r.files.Answer = func(c standin.Command) error {
+		if c.Op == "read" {
+			close(reached)
+			<-release
+		}
+		return nil
+	}
+	done := make(chan error, 1)
+	go func() { _, err := f.ReadAt(make([]byte, 4), 0); done <- err }()
+	<-reached
+	r.ln.Close()
+	ended := make(chan struct{})
+	go func() { r.front.Shutdown(); close(ended) }()
+	close(release)
+	if err := <-done; err != nil {
+		t.Errorf("the READ that was out: %v", err)
+	}
+	<-ended
+}
+
+// The library's client sends a second READ after a short one, which is why sftpbackend has its own codec.
+func TestLibraryClientSendsASecondRead(t *testing.T) {
+	files := standin.NewFileServer(t)
+	files.Put("/a", []byte("1234"))
+	c, err := net.Dial("tcp", files.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	cl, err := sftp.NewClientPipe(c, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := cl.Open("/a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.ReadAt(make([]byte, 10), 0)
+	reads := 0
+	for _, cmd := range files.Log() {
+		if cmd.Op == "read" {
+			reads++
+		}
+	}
+	if reads != 2 {
+		t.Errorf("%d READs: the library may serve now", reads)
+	}
+}
+
+// FuzzConnection checks random steps of a client against a model of its connection: handles that are open, the
+// file's bytes, and one answer each.
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4})
+	f.Add([]byte{0, 0, 9, 17, 2, 1, 33, 5, 4, 3, 1})
+	f.Add([]byte{1, 2, 5, 0, 41, 2, 6, 3, 0, 2, 7, 11})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		r := newRig(t)
+		r.front.Roots[0].Volume = 1
+		c := raw{t, r.dial()}
+		var id, opens uint32
+		var open []string
+		closed := "404"
+		var model []byte
+		there := false
+		str := func(b []byte, s string) []byte { return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...) }
+		for _, s := range steps[:min(len(steps), 24)] {
+			id++
+			b := binary.BigEndian.AppendUint32(nil, id)
+			h, known := closed, len(open) > 0 && s&8 == 0
+			if known {
+				h = open[int(s>>4)%len(open)]
+			}
+			off, want := uint64(s>>5), uint32(sftpbackend.StatusOK)
+			switch s % 5 {
+			case 0: // OPEN, creating on some
+				flags := uint32(sftpbackend.FlagRead | sftpbackend.FlagWrite)
+				if s&16 != 0 {
+					flags |= sftpbackend.FlagCreat
+				}
+				opens++
+				c.send(3, binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(str(b, "/layers/f"), flags), 0))
+				if there = there || s&16 != 0; there {
+					open = append(open, fmt.Sprint(opens))
+					c.answer(102, id)
+					continue
+				}
+				want = sftpbackend.StatusNoSuchFile
+			case 1: // CLOSE
+				c.send(4, str(b, h))
+				if known {
+					closed = h
+					open = remove(open, h)
+				} else {
+					want = sftpbackend.StatusFailure
+				}
+			case 2: // WRITE
+				c.send(6, str(binary.BigEndian.AppendUint64(str(b, h), off), "xyz"))
+				if known {
+					model = append(model, make([]byte, max(0, int(off)+3-len(model)))...)
+					copy(model[off:], "xyz")
+				} else {
+					want = sftpbackend.StatusFailure
+				}
+			case 3: // READ
+				c.send(5, binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(str(b, h), off), 4))
+				if known && int(off) < len(model) {
+					if got := c.answer(103, id); string(got[4:]) != string(model[off:min(len(model), int(off)+4)]) {
+						t.Fatalf("read %q, want %q at %d", got[4:], model, off)
+					}
+					continue
+				}
+				want = sftpbackend.StatusFailure
+				if known {
+					want = sftpbackend.StatusEOF
+				}
+			case 4: // STAT
+				c.send(17, str(b, "/layers/f"))
+				if there {
+					if got := c.answer(105, id); binary.BigEndian.Uint64(got[4:]) != uint64(len(model)) {
+						t.Fatalf("size in %x, want %d", got, len(model))
+					}
+					continue
+				}
+				want = sftpbackend.StatusNoSuchFile
+			}
+			if got := binary.BigEndian.Uint32(c.answer(101, id)); got != want {
+				t.Fatalf("step %d (%d): code %d, want %d", id, s, got, want)
+			}
+		}
+		r.loop.Sync()
+		taken := r.counts.Get("requests_taken")
+		if served := r.counts.Get("answers_served"); served != taken || r.loop.Open() != 0 {
+			t.Fatalf("%d taken, %d served, %d open", taken, served, r.loop.Open())
+		}
+	})
+}
+
+// answer reads one packet of the wanted type and id.
+func (c raw) answer(typ byte, id uint32) []byte {
+	c.t.Helper()
+	var head [9]byte
+	if _, err := io.ReadFull(c, head[:]); err != nil || head[4] != typ || binary.BigEndian.Uint32(head[5:]) != id {
+		c.t.Fatalf("head %x: %v; want type %d, id %d", head, err, typ, id)
+	}
+	body := make([]byte, binary.BigEndian.Uint32(head[:])-5)
+	io.ReadFull(c, body)
+	return body
+}
+
+func remove(list []string, s string) (out []string) {
+	for _, x := range list {
+		if x != s {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sftpfront/mixed_test.go
@@ -0,0 +1,216 @@
+package sftpfront_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pkg/sftp"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/backend"
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/httpfront"
+	"gaugerelay/internal/loop"
+	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/sftpbackend"
+	"gaugerelay/internal/sftpfront"
+	"gaugerelay/internal/standin"
+)
+
+// meter is the limit's store of each volume, kept where the nodes are, as the rule counts it.
+type meter struct {
+	mu       sync.Mutex
+	clock    clock.Clock
+	plan     policy.Plan
+	level    map[uint64]float64
+	last     map[uint64]float64
+	units    map[string]float64 // by wire
+	arrivals int64
+	worst    float64
+}
+
+func (m *meter) take(wire string, volume uint64, units float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.NowMs()
+	if _, ok := m.level[volume]; !ok {
+		m.level[volume], m.last[volume] = m.plan.LimitCap, now
+	}
+	m.level[volume] = min(m.plan.LimitCap, m.level[volume]+m.plan.Limit*(now-m.last[volume])/1000) - units
+	m.last[volume] = now
+	m.worst = min(m.worst, m.level[volume])
+	m.units[wire] += units
+	m.arrivals++
+}
+
+// Clients ask for far more than two basic repositories may have, at once over HTTP and by file commands. What
+// reaches the nodes must stay within each one's limit plus slack, and must be what the core has sent: a front
+// that went round the core would fail both.
+func TestMixedTrafficKeepsLimits(t *testing.T) {
+	const unit, workers, steps = 1000, 4, 400
+	set := standin.Settings(2)
+	now := clock.NewManual(start)
+	m := &meter{clock: now, plan: set.Plans[0], level: map[uint64]float64{}, last: map[uint64]float64{}, units: map[string]float64{}}
+	counts := metrics.New()
+	scheduler, err := policy.New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lp := loop.New(scheduler, now, counts)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go lp.Run(ctx)
+
+	list := core.List{Scope: policy.Whole}
+	ports := map[string]string{}
+	for shard := range 2 {
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			q := r.URL.Query()
+			volume, _ := strconv.ParseUint(q.Get("volume"), 10, 64)
+			units, _ := strconv.ParseFloat(q.Get("units"), 64)
+			m.take("http", volume, units)
+			io.WriteString(w, "data")
+		}))
+		defer node.Close()
+		files := standin.NewFileServer(t)
+		files.Answer = func(c standin.Command) error {
+			volume, _ := strconv.ParseUint(strings.Split(c.Path, "/")[1], 10, 64)
+			switch {
+			case c.Op != "open":
+				m.take("file", volume, max(1, float64((c.Bytes+unit-1)/unit)))
+			case c.Flags&sftpbackend.FlagCreat != 0: // a client's own OPEN; the others belong to a READ or WRITE
+				m.take("file", volume, 1)
+			}
+			return nil
+		}
+		name := fmt.Sprint("n", shard)
+		list.Nodes = append(list.Nodes, &core.Node{Name: name, Addr: node.Listener.Addr().String(), Shard: shard})
+		ports[name] = files.Addr
+	}
+	lp.Nodes(list)
+	lp.Sync()
+
+	web := httptest.NewServer(&httpfront.Front{Loop: lp, Clock: now, Metrics: counts, Settings: &set,
+		Carrier: backend.New(backend.Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxConns: 200}, now, counts, lp)})
+	defer web.Close()
+	ln := standin.Listen(t)
+	front := &sftpfront.Front{Loop: lp, Clock: now, Metrics: counts,
+		Options: sftpfront.Options{MaxConns: 32, UnitBytes: unit, Read: set.Classes[0], Write: set.Classes[1], Shards: 2,
+			MostUnits: 6, Roots: []sftpfront.Root{{Path: "/1", Plan: "basic", Volume: 1, Hosts: 1}, {Path: "/2", Plan: "basic", Volume: 2, Hosts: 1}}},
+		Carrier: sftpbackend.New(sftpbackend.Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 200,
+			Address: func(n *core.Node) (string, bool) { return ports[n.Name], true }}, now, counts, lp.Finish)}
+	go front.Serve(ln)
+	advance := func(ms float64) { // in steps small enough for the module's wakes
+		for ; ms > 0; ms -= 10 {
+			now.Advance(10)
+			lp.Sync()
+		}
+	}
+	advance(3000) // the limits' stores fill: a gateway starts with empty ones
+
+	// Each client asks for one thing at a time, when told to.
+	var clients []chan int
+	var all sync.WaitGroup
+	client := func(ask func(n int)) {
+		turns := make(chan int, 1)
+		clients = append(clients, turns)
+		all.Go(func() {
+			for n := range turns {
+				ask(n)
+			}
+		})
+	}
+	for volume := 1; volume <= 2; volume++ {
+		for w := range workers {
+			client(func(n int) {
+				method, class, units := http.MethodGet, "pull", 1+n%6
+				if n%3 == 0 {
+					method, class = http.MethodPut, "push"
+				}
+				req, _ := http.NewRequest(method, fmt.Sprintf("%s/%s/%016x?volume=%d&units=%d", web.URL, class, n, volume, units), nil)
+				for k, v := range map[string]string{"X-Correlation-Id": "c", "X-Service-Class": class, "X-Plan": "basic",
+					"X-Time-Left-Ms": "1500", "Idempotency-Key": "k",
+					"X-IO": fmt.Sprintf("volume=%016x,units=%d,shard=%d,hosts=1", volume, units, n%2)} {
+					req.Header.Set(k, v)
+				}
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					resp.Body.Close()
+				}
+			})
+			c := (&rig{t: t, ln: ln}).dial()
+			conn, err := sftp.NewClientPipe(c, c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f, err := conn.OpenFile(fmt.Sprintf("/%d/file%d", volume, w), os.O_RDWR|os.O_CREATE)
+			if err != nil {
+				t.Fatal(err)
+			}
+			client(func(n int) {
+				if size := unit * (1 + n%6); n%2 == 0 {
+					f.WriteAt(make([]byte, size), 0)
+				} else {
+					f.ReadAt(make([]byte, min(size, unit)), 0) // no more than there is: a short one is asked for twice
+				}
+			})
+		}
+	}
+	for step := range steps {
+		for i, turns := range clients {
+			select {
+			case turns <- step + i:
+			default: // still busy with the one before
+			}
+		}
+		// The clock moves when nothing is on its way: all attempts have ended, twice over.
+		for calm := 0; calm < 2; {
+			lp.Sync()
+			if counts.Get("attempts_started") == ended(counts) {
+				calm++
+			} else {
+				calm = 0
+			}
+		}
+		now.Advance(10)
+	}
+	for _, turns := range clients {
+		close(turns)
+	}
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	for open := true; open; {
+		select {
+		case <-done:
+			open = false
+		default:
+			lp.Sync()
+			if counts.Get("attempts_started") == ended(counts) {
+				now.Advance(10)
+			}
+		}
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.Logf("lowest level %.1f, units %v, refused %d of %d", m.worst, m.units, counts.Get("answers_refused"), counts.Get("requests_taken"))
+	if m.worst < -m.plan.LimitDebt {
+		t.Errorf("a store fell to %.1f, the slack is %.1f", m.worst, m.plan.LimitDebt)
+	}
+	if m.arrivals != counts.Get("attempts_started") {
+		t.Errorf("%d requests reached the nodes, the core sent %d", m.arrivals, counts.Get("attempts_started"))
+	}
+	// The test would prove nothing if either wire were idle or the limits did not bind.
+	if m.units["http"] < 30 || m.units["file"] < 30 || counts.Get("answers_refused") == 0 {
+		t.Errorf("units %v, %d refused", m.units, counts.Get("answers_refused"))
+	}
+}
--- a/module_test.go
+++ b/module_test.go
@@ -673,3 +673,41 @@
 		t.Errorf("sent %v within two seconds, want it: a twentieth of a window would wait 19", got)
 	}
 }
+
+// A refused client is told when to come back: soon, while its aim can still be met, and once its limit has room.
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	g := newGate(t, func(s *Settings) { s.MaxComeBack = 500 * ms })
+	come := map[RequestID]time.Duration{}
+	a, b := g.ask("read", "capped", 1, 6, 1), g.ask("read", "gold", 2, 6, 2)
+	g.s.volume(&a, g.s.plans["capped"]).limit.level = -2 // 8 units short at 20 a second
+	b.TTL = ms                                           // too late for its node
+	for _, act := range append(g.step(a, b), g.after(time.Second)...) {
+		if r, ok := act.(Refuse); ok {
+			come[r.ID] = r.ComeBack
+		}
+	}
+	if len(come) != 2 {
+		t.Fatalf("refused: %v", come)
+	}
+	if c := come[b.ID]; c <= 0 || c > 2*g.s.threshold {
+		t.Errorf("late at its node: come back in %v", c)
+	}
+	if c := come[a.ID]; c <= 0 || c > 400*ms {
+		t.Errorf("limit: come back in %v", c)
+	}
+}
+
+// A volume that comes through more gateways than first told has a smaller part of its limit in each.
+func TestLimitFollowsTheMostHostsTold(t *testing.T) {
+	g := newGate(t, nil)
+	a := g.ask("read", "capped", 1, 1, 1)
+	v := g.s.volume(&a, g.s.plans["capped"])
+	a.Hosts = 2
+	if g.s.volume(&a, g.s.plans["capped"]); v.limit.rate != 10 || v.limit.most != 12 {
+		t.Errorf("two hosts: rate %v, most %v", v.limit.rate, v.limit.most)
+	}
+	a.Hosts = 1
+	if g.s.volume(&a, g.s.plans["capped"]); v.limit.rate != 10 {
+		t.Errorf("one again: rate %v", v.limit.rate)
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -402,6 +402,11 @@
 		v.limit.set(plan.Limit/hosts, plan.LimitCap/hosts, s.openedAt)
 		s.volumes[a.Volume] = v
 	}
+	if hosts > v.hosts { // told of through another front, with more gateways: each one's part is less
+		v.hosts = hosts
+		v.limit.at(s.now)
+		v.limit.rate, v.limit.most = plan.Limit/hosts, plan.LimitCap/hosts
+	}
 	s.deal(v)
 	return v
 }
@@ -656,13 +661,28 @@
 func (s *Scheduler) giveUp(r *request) {
 	if r.class.Effect == Repeatable || r.out == 0 && !r.mayRun ||
 		r.class.Effect == ByKey && r.class.Scope == ScopeAll {
-		s.do(Refuse{ID: r.ID})
+		s.do(Refuse{ID: r.ID, ComeBack: s.comeBack(r)})
 	} else {
 		s.do(Fail{ID: r.ID})
 	}
 	s.end(r)
 }
 
+// comeBack is when a refused client does well to try again: one that comes while its node is still working
+// off what it has is refused again, but much later than that its aim has passed; and the volume's limit must
+// have room by then.
+func (s *Scheduler) comeBack(r *request) time.Duration {
+	wait := s.threshold
+	for _, n := range r.shard.nodes {
+		wait = min(max(wait, s.delay(n)), 2*s.threshold)
+	}
+	if v := r.vol; v.plan.Limit > 0 {
+		short := r.Units - v.limit.at(s.now)
+		wait = max(wait, time.Duration(short/v.limit.rate*float64(time.Second)))
+	}
+	return min(wait, s.set.MaxComeBack)
+}
+
 // end marks a request as over: nothing more is sent for it.
 func (s *Scheduler) end(r *request) {
 	r.over = true
