--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,248 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
+)
+
+// sink collects the ends of attempts and probes.
+type sink struct {
+	ends   chan core.Result
+	probes chan policy.Status
+}
+
+func (s *sink) Finish(_ core.Attempt, r core.Result) { s.ends <- r }
+func (s *sink) Probed(_ *core.Node, _ float64, st policy.Status, _ []float64) {
+	s.probes <- st
+}
+
+// stand is a storage node that does with each request what the next byte of its script says.
+type stand struct {
+	ln   net.Listener
+	acts chan byte
+	seen atomic.Int32 // whole requests
+}
+
+// The acts of a stand-in node. What they amount to stands in outcomes.
+const (
+	serve = iota
+	serveAndClose
+	fail
+	turnAway
+	noProof
+	breakOff
+	garbage
+	halfAnswer
+	tooLarge
+	badHeaders
+	acts
+)
+
+var outcomes = [acts]policy.Status{policy.OK, policy.OK, policy.Error, policy.Full, policy.Error, policy.Reset,
+	policy.Reset, policy.Reset, policy.Error, policy.OK}
+
+func newStand(t testing.TB) *stand {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &stand{ln: ln, acts: make(chan byte, 1)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.connection(c)
+		}
+	}()
+	return s
+}
+
+func (s *stand) connection(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.seen.Add(1)
+		answer := func(status string, body string, headers ...string) {
+			fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body),
+				strings.Join(append(headers, ""), "\r\n"), body)
+		}
+		switch <-s.acts {
+		case serve:
+			answer("200 OK", r.Method+r.RequestURI+string(body), "X-Volume-Use: 85", "X-Served-Elsewhere: 3", `X-Backend-Load: {"queue":7}`)
+		case serveAndClose:
+			answer("200 OK", r.Method+r.RequestURI+string(body), "Connection: close")
+			return
+		case fail:
+			answer("500 Internal Server Error", "")
+		case turnAway:
+			answer("503 Service Unavailable", "", "X-Unprocessed: 1")
+		case noProof:
+			answer("503 Service Unavailable", "")
+		case breakOff:
+			return
+		case garbage:
+			io.WriteString(c, "what?\r\n\r\n")
+			return
+		case halfAnswer:
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+			return
+		case tooLarge:
+			answer("200 OK", strings.Repeat("x", MaxBody+1))
+		case badHeaders:
+			answer("200 OK", r.Method+r.RequestURI+string(body), "X-Volume-Use: much", "X-Served-Elsewhere: -1", "X-Backend-Load: {")
+		}
+	}
+}
+
+func newBackend() (*Backend, *sink, *metrics.Set, *clock.Manual) {
+	s, m, now := &sink{make(chan core.Result, 1), make(chan policy.Status, 1)}, metrics.New(), clock.NewManual(1e12)
+	return New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxConns: 10, ReportFields: []string{"queue"}}, now, m, s), s, m, now
+}
+
+func request(put bool) *core.Request {
+	l := &Load{Method: "GET", Path: "/pull/1", RawQuery: "a=%20b", Header: http.Header{"Idempotency-Key": {"k"}}}
+	if put {
+		l.Method, l.Body = "PUT", []byte("data")
+	}
+	return &core.Request{Load: l}
+}
+
+// FuzzAttempts checks random acts of a node, and a model of what they amount to, on connections that are reused:
+// each attempt is one request at the node, whatever http.Transport would like to resend, and ends as the
+// protocol's table says.
+func FuzzAttempts(f *testing.F) {
+	f.Add([]byte{serve, serve, breakOff, serve, breakOff})
+	f.Add([]byte{serve, 128 + breakOff, serve, 128 + serve, breakOff, garbage})
+	f.Add([]byte{fail, turnAway, noProof, halfAnswer, tooLarge, serve, badHeaders, 128 + halfAnswer})
+	f.Add([]byte{serveAndClose, serve, garbage, serve, 128 + garbage, 128 + turnAway, breakOff})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		node := newStand(t)
+		b, s, _, now := newBackend()
+		defer b.Close()
+		n := &core.Node{Addr: node.ln.Addr().String()}
+		for i, x := range script[:min(len(script), 12)] {
+			act, put := int(x&127)%acts, x >= 128
+			node.acts <- byte(act)
+			b.Start(core.Attempt{Request: request(put), Node: n, DeadlineMs: now.NowMs() + 1000})
+			res := <-s.ends
+			if res.Status != outcomes[act] || int(node.seen.Load()) != i+1 {
+				t.Fatalf("attempt %d, act %d: status %d, want %d; the node saw %d requests", i, act, res.Status,
+					outcomes[act], node.seen.Load())
+			}
+			if want := map[bool]string{false: "GET/pull/1?a=%20b", true: "PUT/pull/1?a=%20bdata"}[put]; res.Status == policy.OK && string(res.Body.([]byte)) != want {
+				t.Fatalf("body %q, want %q", res.Body, want)
+			}
+			if act == serve && (res.Use != 0.85 || !res.HasUse || res.ForeignUnits != 3 || res.Report[0] != 7) {
+				t.Fatalf("told %+v", res)
+			}
+			if act == badHeaders && (res.HasUse || res.ForeignUnits != 0 || res.Report != nil) {
+				t.Fatalf("told %+v by headers that cannot be read", res)
+			}
+		}
+	})
+}
+
+func TestNeverRanWithoutAConnection(t *testing.T) {
+	b, s, _, now := newBackend()
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	ln.Close()
+	b.Start(core.Attempt{Request: request(true), Node: &core.Node{Addr: ln.Addr().String()}, DeadlineMs: now.NowMs() + 1000})
+	if res := <-s.ends; res.Status != policy.ConnectFailed {
+		t.Errorf("status %d", res.Status)
+	}
+}
+
+// What the node has read in part has not run: the connection breaks before the request's last byte is written.
+func TestBrokenBeforeTheLastByte(t *testing.T) {
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	b, s, _, now := newBackend()
+	go func() {
+		c, _ := ln.Accept()
+		c.Read(make([]byte, 10))
+		c.Close()
+	}()
+	r := request(true)
+	r.Load.(*Load).Body = bytes.Repeat([]byte("x"), 32<<20) // more than the sockets take in
+	b.Start(core.Attempt{Request: r, Node: &core.Node{Addr: ln.Addr().String()}, DeadlineMs: now.NowMs() + 1000})
+	if res := <-s.ends; res.Status != policy.ConnectFailed {
+		t.Errorf("status %d", res.Status)
+	}
+}
+
+// A node told as draining while an attempt waited for its connection gets none of it.
+func TestDrainWhileConnecting(t *testing.T) {
+	node := newStand(t)
+	b, s, _, now := newBackend()
+	c := core.New(nil, nil)
+	n := &core.Node{Name: "a", Addr: node.ln.Addr().String()}
+	c.Nodes(core.List{Scope: policy.Whole, Nodes: []*core.Node{n}})
+	c.Nodes(core.List{Scope: policy.Whole}) // the module sent just before
+	b.Start(core.Attempt{Request: request(false), Node: n, DeadlineMs: now.NowMs() + 1000})
+	if res := <-s.ends; res.Status != policy.ConnectFailed || node.seen.Load() != 0 {
+		t.Errorf("status %d, the node saw %d", res.Status, node.seen.Load())
+	}
+}
+
+func TestTimeoutCancelAndCap(t *testing.T) {
+	node := newStand(t)
+	b, s, m, now := newBackend()
+	a := core.Attempt{Request: request(true), Node: &core.Node{Addr: node.ln.Addr().String()}, DeadlineMs: now.NowMs() + 1000}
+	seen := func(n int32) { // the node holds the request, since no act has been given
+		for node.seen.Load() < n {
+		}
+	}
+	b.Start(a)
+	seen(1)
+	now.Advance(1001)
+	if res := <-s.ends; res.Status != policy.TimedOut {
+		t.Errorf("timed out: status %d", res.Status)
+	}
+	a.DeadlineMs = now.NowMs() + 1000
+	cancel := b.Start(a)
+	seen(2)
+	cancel()
+	if res := <-s.ends; res.Status != policy.Cancelled {
+		t.Errorf("cancelled: status %d", res.Status)
+	}
+	b.opt.MaxConns = 0
+	b.Start(a)
+	if res := <-s.ends; res.Status != policy.ConnectFailed || m.Get("connections_capped") != 1 {
+		t.Errorf("over the cap: status %d, %d capped", res.Status, m.Get("connections_capped"))
+	}
+}
+
+func TestProbe(t *testing.T) {
+	node := newStand(t)
+	b, s, _, _ := newBackend()
+	for _, c := range []struct {
+		act  byte
+		want policy.Status
+	}{{serve, policy.OK}, {turnAway, policy.Error}, {halfAnswer, policy.Reset}} {
+		node.acts <- c.act
+		if b.Probe(&core.Node{Addr: node.ln.Addr().String()}); <-s.probes != c.want {
+			t.Errorf("act %d: not %d", c.act, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/standin"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":["127.0.0.1:7946"],
+ "known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.3:7070","cell":3,"state":"Ready"}]},
+ "settings":{"Siblings":3,"Discovery":"ask","New":{"key":1},
+  "Lanes":[{"Name":"pull","PromiseMs":300,"DeadlineMs":1500,"Idempotency":"repeatable","KeyScope":"all","Worth":2,"LateValue":0.1},
+   {"Name":"push","PromiseMs":400,"DeadlineMs":3000,"DedupWindowMs":3000,"Idempotency":"by_key","KeyScope":"cell","Worth":2},
+   {"Name":"odd","PromiseMs":400,"DeadlineMs":3000,"Idempotency":"sometimes","KeyScope":"rack","Worth":1}],
+  "Plans":[{"Name":"basic","UsualRate":4.1,"Reservation":2,"Shares":1,"Pays":0.96,"CeilingRate":33,"CapDepth":53,"CapSlack":6}],
+  "FamilyInfo":{"NShards":10,"MeanUnits":2.06,"MostUnits":6,"ClassWrites":[false,true,false],"TellsElsewhere":true,"UsePeriodMs":1000},
+  "Limits":{"AttemptsCap":3,"RetryAfter":true,"MaxRetryAfterMs":500,"ConnIdleMs":30000,"ConnectTimeoutMs":250,"MayDuplicate":true},
+  "Invariants":{"AskWithinMs":10000,"DrainGraceMs":1000,"FallMs":3000,"RampTimeMs":15000},
+  "Report":{"Fields":["queue"]},"TickMs":2}}`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Name != "n3" || c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.MemoryMB != 192 || c.ConnIdleMs != 30000 ||
+		c.ConnectMs != 250 || c.Known.Version != 41 || c.Known.Scope != policy.Stale || c.Known.Nodes[0].Shard != 3 {
+		t.Errorf("%+v", c)
+	}
+	push := policy.Class{Name: "push", Aim: 400 * time.Millisecond, Deadline: 3 * time.Second, Effect: policy.ByKey,
+		Scope: policy.ScopeCell, DedupWindow: 3 * time.Second, Write: true, Worth: 2}
+	basic := policy.Plan{Name: "basic", Rate: 4.1, Reserve: 2, Weight: 1, Pays: 0.96, Limit: 33, LimitCap: 53, LimitDebt: 6}
+	if len(s.Classes) != 3 || s.Classes[1] != push || s.Classes[0].Effect != policy.Repeatable || s.Plans[0] != basic {
+		t.Errorf("%+v", s)
+	}
+	if odd := s.Classes[2]; odd.Effect != policy.Once || odd.Scope != policy.ScopeCell {
+		t.Errorf("an unknown effect is not read as the strictest: %+v", odd)
+	}
+	if s.Siblings != 3 || !s.AskList || s.Shards != 10 || !s.TellsElsewhere || s.MaxAttempts != 3 || s.ReportFields[0] != "queue" ||
+		s.MaxComeBack != 500*time.Millisecond || s.AskWithin != 10*time.Second || s.FallWindow != 3*time.Second || s.Tick != 2*time.Millisecond {
+		t.Errorf("%+v", s)
+	}
+}
+
+// What cannot be used is told in one plain line.
+func TestBadConfig(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"not JSON":     {`"name":`, `name`},
+		"no settings":  {`"settings":`, `"sittings":`},
+		"bad seed":     {`8c1f30d27a5be964`, `xyz`},
+		"bad listen":   {`127.0.0.1:7070`, `nowhere`},
+		"bad number":   {`"Siblings":3`, `"Siblings":"three"`},
+		"negative":     {`"memory_mb":192`, `"memory_mb":-1`},
+		"bad known":    {`"cell":3`, `"cell":-3`},
+		"bad text":     {`"name":"n3"`, `"name":3`},
+		"bad switch":   {`"MayDuplicate":true`, `"MayDuplicate":"yes"`},
+		"bad duration": {`"TickMs":2`, `"TickMs":[]`},
+	} {
+		file := filepath.Join(t.TempDir(), "config.json")
+		os.WriteFile(file, []byte(strings.Replace(good, change[0], change[1], 1)), 0o600)
+		_, err := Load(func(k string) string { return map[string]string{"ROUTER_CONFIG": file}[k] })
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil {
+		t.Error("no ROUTER_CONFIG")
+	}
+}
+
+func TestVariablesComeFirst(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	os.WriteFile(file, []byte(good), 0o600)
+	c, err := Load(func(k string) string {
+		return map[string]string{"ROUTER_CONFIG": file, "ROUTER_LISTEN": "127.0.0.9:1", "ROUTER_NAME": "n9"}[k]
+	})
+	if err != nil || c.Listen != "127.0.0.9:1" || c.Name != "n9" || c.Discovery != "127.0.0.2:8500" {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+func TestEdgeExample(t *testing.T) {
+	set := standin.Settings(4)
+	e, err := LoadEdge("../../deploy/edge.example.jsonc", &set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := e.Files
+	if f == nil || f.Read.Name != "pull" || f.Write.Name != "push" || len(f.Roots) != 2 || f.Roots[0].Volume != 0x3b4d60021 || f.Roots[1].Hosts != 1 {
+		t.Errorf("%+v", f)
+	}
+	for _, c := range [][3]string{{"s-5be2a07c", "127.0.0.3:7070", "127.0.0.1:2201"}, {"s-2", "127.0.0.3:7070", "127.0.0.3:2222"}} {
+		if addr, ok := f.Address(c[0], c[1]); !ok || addr != c[2] {
+			t.Errorf("%s: %s", c[0], addr)
+		}
+	}
+}
+
+func TestBadEdge(t *testing.T) {
+	set := standin.Settings(4)
+	text, err := os.ReadFile("../../deploy/edge.example.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string][2]string{
+		"listen":     {`127.0.0.1:2022`, `2022`},
+		"class":      {`"pull"`, `"fetch"`},
+		"free write": {`"write_class": "push"`, `"write_class": "pull"`},
+		"plan":       {`"basic"`, `"none"`},
+		"path":       {`"/layers/releases"`, `"/layers/../releases"`},
+		"volume":     {`00000003b4d60022`, `v1`},
+		"backend":    {`127.0.0.1:2201`, `there`},
+		"number":     {`16384`, `"many"`},
+		"port":       {`2222`, `99999`},
+		"brace":      {`{`, ``},
+	} {
+		_, err := ParseEdge([]byte(strings.Replace(string(text), change[0], change[1], 1)), &set)
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if e, err := ParseEdge([]byte("{}"), &set); err != nil || e.Files != nil {
+		t.Errorf("an empty file turns something on: %+v, %v", e, err)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,179 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/core"
+)
+
+// script is a module that does what a fuzzer's bytes say, as far as the module's own contract allows.
+type script struct {
+	actions []policy.Action
+	seen    []policy.Event
+}
+
+func (s *script) Step(_ time.Duration, events []policy.Event) []policy.Action {
+	s.seen = append(s.seen, events...)
+	out := s.actions
+	s.actions = nil
+	return out
+}
+
+type quiet struct{ probes, watches int }
+
+func (*quiet) WakeAt(float64)     {}
+func (q *quiet) Subscribe()       { q.watches++ }
+func (q *quiet) Probe(*core.Node) { q.probes++ }
+func (*quiet) Log(string)         {}
+func (*quiet) Count(string)       {}
+
+type carrier struct{ started []core.Attempt }
+
+func (c *carrier) Start(a core.Attempt) func() { c.started = append(c.started, a); return func() {} }
+
+func nodes(states ...policy.NodeState) (l core.List) {
+	l.Scope = policy.Whole
+	for i, s := range states {
+		l.Nodes = append(l.Nodes, &core.Node{Name: string(rune('a' + i)), Addr: "127.0.0.1:1", State: s})
+	}
+	return l
+}
+
+// FuzzRequests checks random steps against a model of each request: it is open, answered or its client is gone;
+// whatever races, it has at most one answer, and the module learns each attempt's end once, with the truth on
+// whether the request is over.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 5, 3})
+	f.Add([]byte{0, 1, 1, 2, 2, 10, 2, 4, 3, 5})
+	f.Add([]byte{0, 8, 1, 9, 4, 2, 12, 5, 13, 3, 11, 2})
+	f.Add([]byte{0, 1, 3, 2, 2, 0, 1, 6, 7, 2})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		type model struct {
+			req      *core.Request
+			id       policy.RequestID
+			answers  int
+			over     bool // answered, or its client is gone
+			attempts []bool
+		}
+		mod, car := &script{}, &carrier{}
+		c := core.New(mod, &quiet{})
+		c.Nodes(nodes(policy.Live))
+		c.Step(0)
+		var all []*model
+		for i, s := range steps {
+			now := float64(i)
+			mod.seen = nil
+			if s%8 == 0 || len(all) == 0 {
+				m := &model{id: policy.RequestID(len(all) + 1)}
+				m.req = &core.Request{LeftMs: 1000, Carrier: car, Reply: func(core.Answer) { m.answers++ }}
+				all = append(all, m)
+				c.Take(now, m.req)
+				c.Step(now)
+				continue
+			}
+			m := all[int(s>>3)%len(all)]
+			want := 0 // events that the module must see
+			switch s % 8 {
+			case 1: // the module sends
+				if !m.over {
+					mod.actions = []policy.Action{policy.Send{ID: m.id, Node: 1}}
+					m.attempts = append(m.attempts, false)
+				}
+				c.Wake()
+				want = 1
+			case 2, 3: // an attempt ends, perhaps for the second time
+				n, status := int(s>>5), policy.Error
+				if s%8 == 2 {
+					status = policy.OK
+				}
+				c.Finish(now, m.req, n, core.Result{Status: status})
+				if n < len(m.attempts) && !m.attempts[n] {
+					m.attempts[n], want = true, 1
+					m.over = m.over || status == policy.OK
+				}
+			case 4: // the client goes
+				c.Gone(m.req)
+				if !m.over {
+					m.over, want = true, 1
+				}
+			case 5, 6: // the module gives up, perhaps on what is over
+				mod.actions = []policy.Action{policy.Fail{ID: m.id}}
+				if s%8 == 6 {
+					mod.actions = []policy.Action{policy.Refuse{ID: m.id}}
+				}
+				c.Wake()
+				m.over, want = true, 1
+			case 7:
+				mod.actions = []policy.Action{policy.Cancel{ID: m.id, Attempt: int(s >> 5)}, policy.Probe{Node: 9},
+					policy.Send{ID: 999, Node: 1}, policy.Send{ID: m.id, Node: 99}, policy.Fail{ID: 999}}
+				c.Wake()
+				want = 1
+			}
+			c.Step(now)
+			if len(mod.seen) != want {
+				t.Fatalf("step %d (%d): the module saw %v, want %d events", i, s, mod.seen, want)
+			}
+			if want == 1 {
+				if o, ok := mod.seen[0].(policy.Outcome); ok && (o.Terminal != m.over || o.ID != m.id) {
+					t.Fatalf("step %d: %+v, over is %v", i, o, m.over)
+				}
+			}
+			if m.answers > 1 {
+				t.Fatalf("step %d: %d answers", i, m.answers)
+			}
+		}
+		open, started := 0, 0
+		for _, m := range all {
+			started += len(m.attempts)
+			if !m.over {
+				open++
+				if m.answers != 0 {
+					t.Fatalf("request %d is open and has %d answers", m.id, m.answers)
+				}
+			}
+		}
+		if c.Open() != open || len(car.started) != started {
+			t.Fatalf("%d open, want %d; %d started, want %d", c.Open(), open, len(car.started), started)
+		}
+	})
+}
+
+// A carrier that holds an attempt back must see that its node has drained, moved or gone.
+func TestClosedNodes(t *testing.T) {
+	for name, change := range map[string]core.List{
+		"draining": nodes(policy.Draining),
+		"gone":     nodes(policy.Gone),
+		"missing":  {Scope: policy.Whole},
+		"moved":    {Scope: policy.Patch, Nodes: []*core.Node{{Name: "a", Addr: "127.0.0.1:2"}}},
+	} {
+		c := core.New(&script{}, &quiet{})
+		l := nodes(policy.Live)
+		c.Nodes(l)
+		if l.Nodes[0].Closed() {
+			t.Errorf("%s: closed from the start", name)
+		}
+		c.Nodes(core.List{Scope: policy.Broken})
+		c.Nodes(core.List{Scope: policy.Patch})
+		if l.Nodes[0].Closed() {
+			t.Errorf("%s: a broken watch or an empty change closed it", name)
+		}
+		if c.Nodes(change); !l.Nodes[0].Closed() {
+			t.Errorf("%s: not closed", name)
+		}
+	}
+}
+
+// A client may be gone before the loop has come to its request.
+func TestGoneBeforeTaken(t *testing.T) {
+	mod := &script{}
+	c := core.New(mod, &quiet{})
+	r := &core.Request{Reply: func(core.Answer) { t.Error("answered") }}
+	c.Gone(r)
+	c.Take(1, r)
+	if c.Step(1); len(mod.seen) != 0 || c.Open() != 0 {
+		t.Errorf("the module saw %v", mod.seen)
+	}
+}
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,79 @@
+package loop
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
+)
+
+// stepper records when it was stepped and asks to be woken at a time.
+type stepper struct {
+	at    []time.Duration
+	wake  time.Duration
+	block chan struct{}
+}
+
+func (s *stepper) Step(now time.Duration, _ []policy.Event) []policy.Action {
+	if s.block != nil {
+		<-s.block
+	}
+	s.at = append(s.at, now)
+	if s.wake == 0 {
+		return nil
+	}
+	at := s.wake
+	s.wake = 0
+	return []policy.Action{policy.WakeAt{At: at}}
+}
+
+// The module is woken at the time it asked for, by the one clock.
+func TestWake(t *testing.T) {
+	now, s := clock.NewManual(100), &stepper{wake: 150 * time.Millisecond}
+	l := New(s, now, metrics.New())
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	l.Nodes(core.List{})
+	l.Sync()
+	now.Advance(49)
+	l.Sync()
+	now.Advance(1)
+	l.Sync()
+	cancel()
+	<-l.done
+	if len(s.at) != 2 || s.at[1] != 150*time.Millisecond || !l.Ready() {
+		t.Errorf("stepped at %v, ready %v", s.at, l.Ready())
+	}
+	if l.Offer(&core.Request{}) {
+		t.Error("an ended loop took a request")
+	}
+}
+
+// Requests leave the last quarter of the inbox to the ends of attempts.
+func TestFullInboxTurnsRequestsAwayOnly(t *testing.T) {
+	s := &stepper{block: make(chan struct{})}
+	l := New(s, clock.NewManual(0), metrics.New())
+	taken := 0
+	for l.Offer(&core.Request{Reply: func(core.Answer) {}}) {
+		taken++
+	}
+	if taken != inboxSize*3/4+1 {
+		t.Errorf("%d requests fitted", taken)
+	}
+	for range inboxSize / 4 / 2 {
+		l.Finish(core.Attempt{Request: &core.Request{}}, core.Result{}) // would block if there were no room
+	}
+	close(s.block)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	l.Sync()
+	if !l.Offer(&core.Request{Reply: func(core.Answer) {}}) {
+		t.Error("no room once it is worked off")
+	}
+}
