--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -109,13 +109,14 @@
 			}
 			log.Printf("%s: stopping", cfg.Name)
 			draining.Store(true)
-			time.Sleep(keepMs * time.Millisecond)
-			server.SetKeepAlivesEnabled(false)
-			time.Sleep((acceptMs - keepMs) * time.Millisecond)
-			// All that was taken gets its answer.
 			var both sync.WaitGroup
-			both.Go(endFiles)
-			both.Go(func() { server.Shutdown(context.Background()) })
+			both.Go(func() {
+				time.Sleep(acceptMs * time.Millisecond)
+				endFiles()
+			})
+			both.Go(func() {
+				drain(server, func(ms float64) { time.Sleep(clock.Duration(ms)) })
+			})
 			both.Wait()
 			counts.Print(os.Stderr)
 			return nil
@@ -123,6 +124,14 @@
 	}
 }
 
+// drain ends the HTTP server. For a while clients go on coming; all that was taken gets its answer.
+func drain(server *http.Server, pause func(ms float64)) {
+	pause(keepMs)
+	server.SetKeepAlivesEnabled(false)
+	pause(acceptMs - keepMs)
+	server.Shutdown(context.Background())
+}
+
 // serveFiles starts the front for file commands; end stops it once all that was taken is answered.
 func serveFiles(cfg *config.Config, f *config.Files, lp *loop.Loop, c clock.Clock, m *metrics.Set) (end func(), err error) {
 	ln, err := net.Listen("tcp", f.Listen)
--- /dev/null
+++ b/internal/sftpbackend/backend_test.go
@@ -0,0 +1,187 @@
+package sftpbackend
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
+)
+
+// The acts of a stand-in file port on the packet that carries the command, or on the OPEN before it.
+const (
+	serve = iota
+	status
+	turnAway
+	breakOff
+	garbage
+	wrongID
+	tooLong
+	acts
+)
+
+// port answers each packet as the next byte of its script says: OPENs on the upper bit's half.
+type port struct {
+	addr     string
+	acts     chan byte
+	commands atomic.Int32 // whole READs and WRITEs
+}
+
+func newPort(t testing.TB) *port {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	p := &port{addr: ln.Addr().String(), acts: make(chan byte, 2)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go p.connection(c)
+		}
+	}()
+	return p
+}
+
+func (p *port) connection(c net.Conn) {
+	defer c.Close()
+	for {
+		typ, body, err := readPacket(c)
+		if err != nil {
+			return
+		}
+		var id uint32
+		if len(body) >= 4 {
+			id = binary.BigEndian.Uint32(body)
+		}
+		act := byte(serve)
+		if typ == typeOpen || typ == typeRead || typ == typeWrite {
+			act = <-p.acts
+		}
+		if typ == typeRead || typ == typeWrite {
+			p.commands.Add(1)
+		}
+		out := newPacket(typeStatus, id).u32(StatusOK).text("").text("")
+		switch {
+		case act == breakOff:
+			return
+		case act == garbage:
+			out = newPacket(99, id)
+		case act == wrongID:
+			out = newPacket(typeStatus, id+1).u32(StatusOK).text("").text("")
+		case act == tooLong:
+			io.WriteString(c, "\xff\xff\xff\xff\x67")
+			return
+		case act == status:
+			out = newPacket(typeStatus, id).u32(StatusFailure).text("disk").text("")
+		case act == turnAway:
+			out = newPacket(typeStatus, id).u32(StatusFailure).text(Unprocessed + ": queue full").text("")
+		case typ == typeInit:
+			out = newPacket(typeVersion, version)
+		case typ == typeOpen:
+			out = newPacket(typeHandle, id).text("h1")
+		case typ == typeRead:
+			out = newPacket(typeData, id).text("data")
+		}
+		c.Write(out.done())
+	}
+}
+
+// FuzzSession checks random acts of a file port against a model of the session: the command's packet goes out at
+// most once, and the attempt ends as never run unless that packet was written whole.
+func FuzzSession(f *testing.F) {
+	f.Add([]byte{serve, serve, breakOff, 16 + serve, serve})
+	f.Add([]byte{16 * breakOff, 128 + serve, breakOff, 128 + breakOff, serve})
+	f.Add([]byte{16 * garbage, garbage, wrongID, 16 * tooLong, tooLong, 128 + serve})
+	f.Add([]byte{16 * status, status, 16 * turnAway, turnAway, serve, 128 + turnAway})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		p, now, ends := newPort(t), clock.NewManual(1e12), make(chan core.Result, 1)
+		b := New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 2,
+			Address: func(*core.Node) (string, bool) { return p.addr, true }}, now, metrics.New(),
+			func(_ core.Attempt, r core.Result) { ends <- r })
+		defer b.Close()
+		commands := int32(0)
+		for i, x := range script[:min(len(script), 12)] {
+			onOpen, onCommand, write := x>>4&7%acts, x&15%acts, x >= 128
+			want := [acts]policy.Status{policy.OK, policy.Error, policy.Full, policy.Reset, policy.Error, policy.Error, policy.Error}
+			cmd := &Command{Op: Read, Path: "/a", Length: 10}
+			if write {
+				cmd = &Command{Op: Write, Path: "/a", Data: []byte("data"), Key: "k"}
+			}
+			p.acts <- onOpen
+			end := want[onOpen]
+			if onOpen == serve {
+				p.acts <- onCommand
+				end = want[onCommand]
+				commands++
+			} else if onOpen == breakOff {
+				end = policy.Full // the command itself never went out
+			}
+			b.Start(core.Attempt{Request: &core.Request{Load: cmd}, Node: &core.Node{}, DeadlineMs: now.NowMs() + 1000})
+			if res := <-ends; res.Status != end || p.commands.Load() != commands {
+				t.Fatalf("attempt %d (%d, %d): status %d, want %d; %d commands, want %d", i, onOpen, onCommand, res.Status, end,
+					p.commands.Load(), commands)
+			}
+		}
+	})
+}
+
+// FuzzReply: no answer of a node breaks the codec.
+func FuzzReply(f *testing.F) {
+	f.Add(byte(typeStatus), []byte{0, 0, 0, 2, 0, 0, 0, 1, 'x'})
+	f.Add(byte(typeAttrs), []byte{0, 0, 0, 15, 0, 0, 0, 0, 0, 0, 0, 9})
+	f.Add(byte(typeData), []byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, typ byte, body []byte) {
+		if r, err := reply(typ, &fields{b: body}); err == nil && len(r.Data)+len(r.Text) > len(body) {
+			t.Errorf("%+v out of %d bytes", r, len(body))
+		}
+	})
+}
+
+// A session that has stood idle too long is not used any more, and over the cap attempts are turned away unrun.
+func TestSessionsAgeAndAreCapped(t *testing.T) {
+	p, now, ends, m := newPort(t), clock.NewManual(1e12), make(chan core.Result, 1), metrics.New()
+	b := New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 1,
+		Address: func(*core.Node) (string, bool) { return p.addr, true }}, now, m, func(_ core.Attempt, r core.Result) { ends <- r })
+	defer b.Close()
+	a := core.Attempt{Request: &core.Request{Load: &Command{Op: Read, Path: "/a", Length: 4}}, Node: &core.Node{}, DeadlineMs: 2e12}
+	idle := func() *session {
+		for {
+			b.mu.Lock()
+			list := b.idle[p.addr]
+			b.mu.Unlock()
+			if len(list) > 0 {
+				return list[0]
+			}
+		}
+	}
+	p.acts <- serve
+	p.acts <- serve
+	b.Start(a)
+	if r := <-ends; r.Status != policy.OK {
+		t.Fatalf("status %d", r.Status)
+	}
+	first := idle()
+	now.Advance(18001)
+	p.acts <- serve
+	b.Start(a) // its READ is held: no act for it yet
+	for len(p.acts) > 0 {
+	}
+	b.Start(a)
+	if r := <-ends; r.Status != policy.Full {
+		t.Errorf("over the cap: status %d", r.Status)
+	}
+	p.acts <- serve
+	if r := <-ends; r.Status != policy.OK || idle() == first {
+		t.Errorf("status %d, the old session in use: %v", r.Status, idle() == first)
+	}
+}
