Tell from the connection's writes whether a request went out whole

Seen: a fuzz run of FuzzAttempts had a PUT end as ConnectFailed ("never ran") though the node had read all of it: act halfAnswer on the second attempt of a connection. The module would have been free to refuse, or to send it anywhere.

Fault: internal/backend took httptrace's WroteRequest for "the last byte is written". Where a body follows flushed headers, net/http copies it to the connection directly (persistConnWriter.ReadFrom), so the node can have it and answer before that hook is called.

Ruled out: a resend by the transport; the node saw one request an attempt.

Now the connection counts the bytes of each attempt before it writes them. The file carrier's fuzz failure was the test's: too few sessions allowed.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -79,9 +79,29 @@
 
 // try follows one attempt through the transport.
 type try struct {
-	node  *core.Node
-	wrote atomic.Bool // the transport has handed the whole request to the connection
-	broke atomic.Bool // but not all of it went out
+	node *core.Node
+	head []byte // as far as it has been written, until its end is found
+	body int    // bytes of it still to be written once head is
+	ends bool   // the end of the head was found
+
+	whole atomic.Bool // the last byte has been handed to the connection
+}
+
+// passing takes in what is about to be written, before it is: a node may answer or break off before the write
+// returns. httptrace's WroteRequest cannot tell this: a body that follows its headers is copied to the
+// connection directly, so the node may have it whole, and have run it, before that hook is called.
+func (t *try) passing(p []byte) {
+	if !t.ends {
+		t.head = append(t.head, p...)
+		i := bytes.Index(t.head, []byte("\r\n\r\n"))
+		if i < 0 {
+			return
+		}
+		t.ends, p = true, t.head[i+4:]
+	}
+	if t.body -= len(p); t.body <= 0 {
+		t.whole.Store(true)
+	}
 }
 
 // conn is a connection to a node. It carries one attempt at a time, and knows which.
@@ -112,13 +132,16 @@
 // this connection to come up; and an attempt has never run if its last byte was not written.
 func (c *conn) Write(p []byte) (int, error) {
 	t := c.try.Load()
-	if t != nil && t.node.Closed() {
-		t.broke.Store(true)
+	if t == nil { // a probe
+		return c.Conn.Write(p)
+	}
+	if t.node.Closed() && !t.ends && len(t.head) == 0 {
 		return 0, errClosedNode
 	}
+	t.passing(p)
 	n, err := c.Conn.Write(p)
-	if err != nil && t != nil {
-		t.broke.Store(true)
+	if n < len(p) {
+		t.whole.Store(false)
 	}
 	return n, err
 }
@@ -130,13 +153,6 @@
 	return c.Conn.Close()
 }
 
-// onceBody is a body that cannot be rewound. The transport resends by itself, on another connection, what has
-// no body or can be rewound and is a GET or carries an Idempotency-Key; that attempt would be unknown to the
-// module. So even an empty body is one of these.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // Start implements core.Carrier.
 func (b *Backend) Start(a core.Attempt) func() {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -153,20 +169,18 @@
 // attempt runs one attempt to its end.
 func (b *Backend) attempt(ctx context.Context, a core.Attempt) core.Result {
 	load := a.Request.Load.(*Load)
-	t := &try{node: a.Node}
+	t := &try{node: a.Node, body: len(load.Body)}
 	req := (&http.Request{
 		Method: load.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{Scheme: "http", Host: a.Node.Addr, Path: load.Path, RawPath: load.RawPath,
 			RawQuery: load.RawQuery},
 		Header: load.Header.Clone(), Host: "api.internal",
-		Body: onceBody{bytes.NewReader(load.Body)}, ContentLength: int64(len(load.Body)),
+		// The transport resends by itself, on another connection, what has no body or can rewind it (GetBody) and
+		// is a GET or carries an Idempotency-Key; that attempt would be unknown to the module. So even an empty
+		// body is one, and cannot be rewound.
+		Body: io.NopCloser(bytes.NewReader(load.Body)), ContentLength: int64(len(load.Body)),
 	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { i.Conn.(*conn).try.Store(t) },
-		WroteRequest: func(i httptrace.WroteRequestInfo) {
-			if i.Err == nil {
-				t.wrote.Store(true)
-			}
-		},
 	}))
 	left := max(1, math.Floor(a.DeadlineMs-b.clock.NowMs()))
 	req.Header.Set("X-Time-Left-Ms", strconv.FormatFloat(left, 'f', 0, 64))
@@ -197,7 +211,7 @@
 
 // ended tells how an attempt without an answer ended.
 func ended(ctx context.Context, t *try) policy.Status {
-	whole := t.wrote.Load() && !t.broke.Load()
+	whole := t.whole.Load()
 	switch cause := context.Cause(ctx); {
 	case !whole && (cause == nil || !errors.Is(cause, context.Canceled)):
 		return policy.ConnectFailed
--- a/internal/sftpbackend/backend_test.go
+++ b/internal/sftpbackend/backend_test.go
@@ -105,7 +105,8 @@
 	f.Add([]byte{16 * status, status, 16 * turnAway, turnAway, serve, 128 + turnAway})
 	f.Fuzz(func(t *testing.T, script []byte) {
 		p, now, ends := newPort(t), clock.NewManual(1e12), make(chan core.Result, 1)
-		b := New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 2,
+		// Sessions come back only once their handle is closed, after the answer: there must be enough of them.
+		b := New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 100,
 			Address: func(*core.Node) (string, bool) { return p.addr, true }}, now, metrics.New(),
 			func(_ core.Attempt, r core.Result) { ends <- r })
 		defer b.Close()
