Announce service addresses by BGP, and describe the program and its operation

internal/bgp opens an RFC 4271 session to one router, announces the configured prefixes when the gateway is ready and withdraws them first thing on a stop. Off unless the operator's file names it.

Ruled out: corebgp is not to be had; gobgp's server brings gRPC. gobgp's packet package adds 0.6 MB and no dependency.

Found by a repeated run of TestWake: post could still put a message into the inbox of an ended loop, since select picks at random; it now looks first. An empty list of known nodes no longer counts as ready.

--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -23,6 +23,7 @@
 	policy "gaugerelay"
 
 	"gaugerelay/internal/backend"
+	"gaugerelay/internal/bgp"
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
 	"gaugerelay/internal/core"
@@ -65,6 +66,10 @@
 	if err != nil {
 		return err
 	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sys, counts := clock.NewSystem(), metrics.New()
@@ -73,6 +78,15 @@
 		MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields}, sys, counts, lp)
 	watcher := discovery.New(cfg.Discovery, cfg.Known.Version, sys, counts, lp.Nodes)
 	lp.Watch, lp.Prober = func() { watcher.Start(ctx) }, back.Probe
+	endBGP, withdraw := func() {}, func() {}
+	if edge.BGP != nil {
+		speaker := bgp.New(*edge.BGP, sys, counts)
+		lp.BecameReady = func() { speaker.SetReady(true) }
+		speaking, cease := context.WithCancel(ctx)
+		go speaker.Run(speaking)
+		withdraw = func() { speaker.SetReady(false) }
+		endBGP = func() { cease(); speaker.Wait() }
+	}
 	go lp.Run(ctx)
 	lp.Nodes(cfg.Known)
 
@@ -81,10 +95,6 @@
 		Draining: draining.Load}
 	server := &http.Server{Handler: front, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 5 * time.Minute,
 		MaxHeaderBytes: 16 << 10}
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return err
-	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(netutil.LimitListener(ln, max(1, cfg.Sockets*3/8))) }()
 	log.Printf("%s: listening on %s", cfg.Name, cfg.Listen)
@@ -109,6 +119,7 @@
 			}
 			log.Printf("%s: stopping", cfg.Name)
 			draining.Store(true)
+			withdraw()
 			var both sync.WaitGroup
 			both.Go(func() {
 				time.Sleep(acceptMs * time.Millisecond)
@@ -118,6 +129,7 @@
 				drain(server, func(ms float64) { time.Sleep(clock.Duration(ms)) })
 			})
 			both.Wait()
+			endBGP()
 			counts.Print(os.Stderr)
 			return nil
 		}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -67,9 +67,13 @@
 
 // AfterFunc implements Clock.
 func (m *Manual) AfterFunc(ms float64, f func()) func() {
+	if ms <= 0 { // already due
+		go f()
+		return func() {}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := &timer{m.now + max(0, ms), f}
+	t := &timer{m.now + ms, f}
 	m.timers = append(m.timers, t)
 	return func() {
 		m.mu.Lock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,9 +81,9 @@
 		if bad > 0 {
 			return nil, fmt.Errorf("known: %d bad entries", bad)
 		}
-		list.Scope = policy.Stale // whatever it says of itself, it is as last seen
 		c.Known = list
 	}
+	c.Known.Scope = policy.Stale // whatever it says of itself, it is as last seen
 	s := v.Get("settings")
 	if s == nil || s.Type() != fastjson.TypeObject {
 		return nil, errors.New("settings is missing")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -97,6 +97,9 @@
 	if f == nil || f.Read.Name != "pull" || f.Write.Name != "push" || len(f.Roots) != 2 || f.Roots[0].Volume != 0x3b4d60021 || f.Roots[1].Hosts != 1 {
 		t.Errorf("%+v", f)
 	}
+	if b := e.BGP; b == nil || b.LocalAS != 65001 || b.HoldMs != 90000 || len(b.Addresses) != 1 || b.NextHop.IsValid() {
+		t.Errorf("%+v", b)
+	}
 	for _, c := range [][3]string{{"s-5be2a07c", "127.0.0.3:7070", "127.0.0.1:2201"}, {"s-2", "127.0.0.3:7070", "127.0.0.3:2222"}} {
 		if addr, ok := f.Address(c[0], c[1]); !ok || addr != c[2] {
 			t.Errorf("%s: %s", c[0], addr)
@@ -121,13 +124,19 @@
 		"number":     {`16384`, `"many"`},
 		"port":       {`2222`, `99999`},
 		"brace":      {`{`, ``},
+		"peer":       {`127.0.0.1:1179`, `router`},
+		"AS":         {`65001`, `0`},
+		"identifier": {`"127.0.0.1",`, `"::1",`},
+		"hold":       {`90000`, `1000`},
+		"prefix":     {`192.0.2.7/32`, `192.0.2.7/24`},
+		"no prefix":  {`["192.0.2.7/32"]`, `[]`},
 	} {
 		_, err := ParseEdge([]byte(strings.Replace(string(text), change[0], change[1], 1)), &set)
 		if err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if e, err := ParseEdge([]byte("{}"), &set); err != nil || e.Files != nil {
+	if e, err := ParseEdge([]byte("{}"), &set); err != nil || e.Files != nil || e.BGP != nil {
 		t.Errorf("an empty file turns something on: %+v, %v", e, err)
 	}
 }
--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net"
+	"net/netip"
 	"os"
 	"path"
 	"strconv"
@@ -12,10 +14,15 @@
 	"github.com/valyala/fastjson"
 
 	policy "gaugerelay"
+
+	"gaugerelay/internal/bgp"
 )
 
 // Edge is what an operator sets up beside the platform's configuration. Nil parts are off.
-type Edge struct{ Files *Files }
+type Edge struct {
+	Files *Files
+	BGP   *bgp.Options
+}
 
 // Files sets up the front for file commands.
 type Files struct {
@@ -82,9 +89,66 @@
 			return nil, fmt.Errorf("sftp: %w", err)
 		}
 	}
+	if b := v.Get("bgp"); b != nil {
+		if e.BGP, err = announcements(b); err != nil {
+			return nil, fmt.Errorf("bgp: %w", err)
+		}
+	}
 	return e, nil
 }
 
+// maxAddresses fit in one UPDATE.
+const maxAddresses = 256
+
+func announcements(v *fastjson.Value) (*bgp.Options, error) {
+	r := &reader{}
+	o := &bgp.Options{Peer: r.str(v, "peer"), HoldMs: 90_000}
+	errs := []error{hostPort("peer", o.Peer)}
+	for name, at := range map[string]*uint32{"local_as": &o.LocalAS, "peer_as": &o.PeerAS} {
+		n := r.num(v, name)
+		if n < 1 || n > math.MaxUint32 || n != math.Trunc(n) {
+			errs = append(errs, fmt.Errorf("%s is not an AS number", name))
+		}
+		*at = uint32(n)
+	}
+	if v.Exists("hold_ms") {
+		o.HoldMs = r.num(v, "hold_ms")
+	}
+	if o.HoldMs != 0 && (o.HoldMs < 3000 || o.HoldMs > 65_535_000) {
+		errs = append(errs, errors.New("hold_ms is neither 0 nor from 3000 to 65535000"))
+	}
+	var err error
+	if o.RouterID, err = netip.ParseAddr(r.str(v, "router_id")); err != nil || !o.RouterID.Is4() || o.RouterID.IsUnspecified() {
+		errs = append(errs, errors.New("router_id is not an IPv4 address"))
+	}
+	if text := r.str(v, "next_hop"); text != "" {
+		if o.NextHop, err = netip.ParseAddr(text); err != nil || !o.NextHop.Is4() {
+			errs = append(errs, errors.New("next_hop is not an IPv4 address"))
+		}
+	}
+	for _, a := range v.GetArray("announce") {
+		p, err := netip.ParsePrefix(string(a.GetStringBytes()))
+		if err != nil || !p.Addr().Is4() || p != p.Masked() {
+			errs = append(errs, fmt.Errorf("announce: %s is not an IPv4 prefix such as 192.0.2.7/32", a))
+		}
+		o.Addresses = append(o.Addresses, p)
+	}
+	if n := len(o.Addresses); n == 0 || n > maxAddresses {
+		errs = append(errs, fmt.Errorf("announce: %d prefixes, wants 1 to %d", n, maxAddresses))
+	}
+	return o, first(append(errs, r.err))
+}
+
+// first is the first error: what is wrong is told in one plain line.
+func first(errs []error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func hostPort(what, addr string) error {
 	if _, _, err := net.SplitHostPort(addr); err != nil {
 		return fmt.Errorf("%s %q is not host:port", what, addr)
@@ -149,10 +213,5 @@
 	if f.Port == 0 && len(f.Backends) == 0 {
 		errs = append(errs, errors.New("neither backend_port nor backends"))
 	}
-	for _, err := range append(errs, r.err) {
-		if err != nil {
-			return nil, err // one plain line
-		}
-	}
-	return f, nil
+	return f, first(append(errs, r.err))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,7 +132,7 @@
 	nodes  map[policy.NodeID]*Node
 	ids    map[string]policy.NodeID
 	lastID policy.RequestID
-	lists  int
+	listed bool
 }
 
 // New returns a core round a module.
@@ -151,8 +151,8 @@
 	return n
 }
 
-// Ready tells whether a node list is held.
-func (c *Core) Ready() bool { return c.lists > 0 }
+// Ready tells whether a node list is held. An empty one from before the start does not count.
+func (c *Core) Ready() bool { return c.listed }
 
 // Take hands a client's request in.
 func (c *Core) Take(nowMs float64, r *Request) {
@@ -238,8 +238,8 @@
 			}
 		}
 	}
-	if l.Scope != policy.Broken {
-		c.lists++
+	if l.Scope != policy.Broken && (l.Scope != policy.Stale || len(l.Nodes) > 0) {
+		c.listed = true
 	}
 	c.events = append(c.events, ev)
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -177,3 +177,22 @@
 		t.Errorf("the module saw %v", mod.seen)
 	}
 }
+
+// A gateway is ready once it holds a list that can be used: known may be empty, and a watch may fail.
+func TestReady(t *testing.T) {
+	c := core.New(&script{}, &quiet{})
+	for _, l := range []core.List{{Scope: policy.Stale}, {Scope: policy.Broken}} {
+		if c.Nodes(l); c.Ready() {
+			t.Errorf("ready by %+v", l)
+		}
+	}
+	if c.Nodes(core.List{Scope: policy.Whole}); !c.Ready() {
+		t.Error("not ready though discovery has answered")
+	}
+	c = core.New(&script{}, &quiet{})
+	known := nodes(policy.Live)
+	known.Scope = policy.Stale
+	if c.Nodes(known); !c.Ready() {
+		t.Error("not ready with a known node")
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -25,6 +25,8 @@
 	// Watch is called when the module wants the changes of the node list, Prober when it wants a node probed.
 	Watch  func()
 	Prober func(n *core.Node)
+	// BecameReady is called, once, when requests can be served.
+	BecameReady func()
 
 	core   *core.Core
 	inbox  chan func(nowMs float64)
@@ -36,7 +38,7 @@
 
 // New returns a loop round a decision module; call Run to start it.
 func New(p core.Policy, c clock.Clock, m *metrics.Set) *Loop {
-	l := &Loop{Clock: c, Metrics: m, Watch: func() {}, Prober: func(*core.Node) {},
+	l := &Loop{Clock: c, Metrics: m, Watch: func() {}, Prober: func(*core.Node) {}, BecameReady: func() {},
 		inbox: make(chan func(float64), inboxSize), done: make(chan struct{}), stop: func() {}}
 	l.core = core.New(p, outside{l})
 	return l
@@ -56,7 +58,9 @@
 				(<-l.inbox)(now)
 			}
 			l.core.Step(now)
-			l.ready.Store(l.core.Ready())
+			if l.core.Ready() && !l.ready.Swap(true) {
+				l.BecameReady()
+			}
 			l.openNo.Store(int64(l.core.Open()))
 		}
 	}
@@ -94,6 +98,11 @@
 
 // post waits for room in the inbox; the loop never waits for anyone, so there soon is some.
 func (l *Loop) post(f func(nowMs float64)) bool {
+	select {
+	case <-l.done: // an ended loop leaves its inbox unread, room or not
+		return false
+	default:
+	}
 	select {
 	case l.inbox <- f:
 		return true
