Close every entry of a node that drains, shed idle clients, test the program

Seen on reading: core.Nodes closed only the entry it held, so an attempt that waited for a connection with an older entry of the same node, replaced by a refreshed one, did not see the drain and could have gone out late. Entries of one process at one address now share the mark (internal/core, Nodes).

Also: once 7/8 of the client connections are open the longest idle is closed, else new clients wait unread behind idle ones; the server has read and write limits behind the longest deadline. The program as a whole is tested with an operator's file: file commands through to a node, announced and withdrawn. Shared set-ups of tests and the carriers' deadline are now written once.

--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -93,17 +93,23 @@
 	var draining atomic.Bool
 	front := &httpfront.Front{Loop: lp, Carrier: back, Clock: sys, Metrics: counts, Settings: &cfg.Settings,
 		Draining: draining.Load}
-	server := &http.Server{Handler: front, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 5 * time.Minute,
-		MaxHeaderBytes: 16 << 10}
+	clients := max(1, cfg.Sockets*3/8)
+	conns := &httpfront.Conns{Most: clients * 7 / 8}
+	// A client has these times to send a request and, behind the longest deadline, to take its answer.
+	patience := 10 * time.Second
+	for _, c := range cfg.Settings.Classes {
+		patience = max(patience, c.Deadline+10*time.Second)
+	}
+	server := &http.Server{Handler: front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: patience,
+		WriteTimeout: patience, IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: conns.State}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(netutil.LimitListener(ln, max(1, cfg.Sockets*3/8))) }()
-	log.Printf("%s: listening on %s", cfg.Name, cfg.Listen)
+	go func() { ended <- server.Serve(netutil.LimitListener(ln, clients)) }()
+	log.Printf("%s: listening on %s", cfg.Name, ln.Addr())
 	endFiles := func() {}
 	if edge.Files != nil {
 		if endFiles, err = serveFiles(cfg, edge.Files, lp, sys, counts); err != nil {
 			return err
 		}
-		log.Printf("%s: file commands on %s", cfg.Name, edge.Files.Listen)
 	}
 
 	signals := make(chan os.Signal, 1)
@@ -160,6 +166,7 @@
 		front.Roots = append(front.Roots, sftpfront.Root(r))
 	}
 	go front.Serve(ln)
+	log.Printf("%s: file commands on %s", cfg.Name, ln.Addr())
 	return func() { ln.Close(); front.Shutdown(); back.Close() }, nil
 }
 
--- a/cmd/gaugerelay/main_test.go
+++ b/cmd/gaugerelay/main_test.go
@@ -15,7 +15,10 @@
 	"syscall"
 	"testing"
 
+	"github.com/pkg/sftp"
+
 	"gaugerelay/internal/standin"
+	"gaugerelay/internal/standin/fileserver"
 )
 
 // TestMain lets the test binary stand for the program.
@@ -40,7 +43,8 @@
 
 const settings = `{"name":"n0","listen":"%s","discovery":"127.0.0.1:1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
  "known":{"version":1,"servers":[{"id":"s-1","addr":"%s","cell":0,"state":"Ready"}]},
- "settings":{"Siblings":1,"Lanes":[{"Name":"pull","PromiseMs":60000,"DeadlineMs":60000,"Idempotency":"repeatable","Worth":2}],
+ "settings":{"Siblings":1,"Lanes":[{"Name":"pull","PromiseMs":60000,"DeadlineMs":60000,"Idempotency":"repeatable","Worth":2},
+  {"Name":"push","PromiseMs":60000,"DeadlineMs":60000,"DedupWindowMs":3000,"Idempotency":"by_key","KeyScope":"cell","Worth":2}],
  "Plans":[{"Name":"basic","Shares":1,"Pays":1}],"FamilyInfo":{"NShards":1,"MeanUnits":2,"MostUnits":6},
  "Limits":{"AttemptsCap":3,"ConnIdleMs":30000,"ConnectTimeoutMs":5000},"TickMs":2}}`
 
@@ -62,37 +66,110 @@
 	}
 }
 
-// SIGTERM: what was taken is answered, and the program ends well.
-func TestStopAnswersWhatWasTaken(t *testing.T) {
-	reached, release := make(chan struct{}, 1), make(chan struct{})
-	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		reached <- struct{}{}
-		<-release
-		io.WriteString(w, "layer")
-	}))
-	defer node.Close()
-	ln := standin.Listen(t) // a free port, given back
-	addr := ln.Addr().String()
-	ln.Close()
-	cmd := program(t, fmt.Sprintf(settings, addr, node.Listener.Addr()))
-	log, err := cmd.StderrPipe()
+// started starts the program; until reads its log up to a line with a text.
+func started(t *testing.T, text string, args ...string) (cmd *exec.Cmd, until func(text string) (line string)) {
+	t.Helper()
+	cmd = program(t, text, args...)
+	r, w, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	cmd.Stderr = w
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
-	lines := bufio.NewScanner(log)
-	until := func(text string) {
+	w.Close()
+	t.Cleanup(func() { cmd.Process.Kill(); r.Close() })
+	lines := bufio.NewScanner(r)
+	return cmd, func(text string) string {
+		t.Helper()
 		for lines.Scan() {
 			if strings.Contains(lines.Text(), text) {
-				return
+				return lines.Text()
 			}
 		}
 		t.Fatalf("no line with %q", text)
+		return ""
+	}
+}
+
+// after is a line's last word.
+func after(line string) string { return line[strings.LastIndex(line, " ")+1:] }
+
+// The operator's file turns on file commands, which reach a node's file port, and announcements, which are
+// withdrawn before the program ends.
+func TestOperatorsFile(t *testing.T) {
+	files := fileserver.New(t)
+	files.Put("/layers/a", []byte("layer"))
+	router := standin.Listen(t)
+	edge := filepath.Join(t.TempDir(), "edge.jsonc")
+	if err := os.WriteFile(edge, fmt.Appendf(nil, `// an operator's
+	{"sftp":{"listen":"127.0.0.1:0","read_class":"pull","write_class":"push","backends":{"s-1":"%s"},
+	  "roots":[{"path":"/layers","volume":"1","plan":"basic"}]},
+	 "bgp":{"peer":"%s","local_as":65001,"peer_as":65001,"router_id":"127.0.0.1","announce":["192.0.2.7/32"]}}`,
+		files.Addr, router.Addr()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd, until := started(t, fmt.Sprintf(settings, "127.0.0.1:0", "127.0.0.1:1"), "-edge", edge)
+	addr := after(until("file commands on")) // before the session, whose lines come in their order after this one
+	r, err := router.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	// The peer's OPEN mirrors the speaker's but for the identifier.
+	open := make([]byte, 64)
+	n, err := r.Read(open)
+	if err != nil || n < 29 {
+		t.Fatalf("OPEN of %d bytes: %v", n, err)
+	}
+	open[27]++ // the identifier's last byte
+	r.Write(open[:n])
+	r.Write(append(bytes.Repeat([]byte{0xff}, 16), 0, 19, 4)) // KEEPALIVE
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
 	}
-	until("listening on")
+	defer c.Close()
+	client, err := sftp.NewClientPipe(c, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := client.OpenFile("/layers/a", os.O_RDWR)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 5)
+	if _, err := f.ReadAt(got, 0); err != nil || string(got) != "layer" {
+		t.Errorf("read %q: %v", got, err)
+	}
+	if _, err := f.WriteAt([]byte("L"), 0); err != nil || string(files.File("/layers/a")) != "Layer" {
+		t.Errorf("written %q: %v", files.File("/layers/a"), err)
+	}
+	until("announced: true")
+	cmd.Process.Signal(syscall.SIGTERM)
+	until("announced: false")
+	until("answers_served 3")
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	said, err := io.ReadAll(r) // KEEPALIVE, the routes, their withdrawal, and a Cease at the very end
+	if err != nil || !bytes.HasSuffix(said, []byte{0, 21, 3, 6, 2}) {
+		t.Errorf("%v: %x", err, said)
+	}
+}
+
+// SIGTERM: what was taken is answered, and the program ends well.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	reached, release := make(chan struct{}, 1), make(chan struct{})
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reached <- struct{}{}
+		<-release
+		io.WriteString(w, "layer")
+	}))
+	defer node.Close()
+	cmd, until := started(t, fmt.Sprintf(settings, "127.0.0.1:0", node.Listener.Addr()))
+	addr := after(until("listening on"))
 	answer := make(chan string, 1)
 	go func() {
 		req, _ := http.NewRequest("GET", "http://"+addr+"/pull/00000000000000aa", nil)
@@ -116,7 +193,6 @@
 		t.Errorf("answer %q", a)
 	}
 	until("answers_served 1")
-	io.Copy(io.Discard, log)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v", err)
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -155,12 +155,9 @@
 
 // Start implements core.Carrier.
 func (b *Backend) Start(a core.Attempt) func() {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := clock.WithDeadline(b.clock, a.DeadlineMs)
 	go func() {
-		// The body of an answer is read before this returns, so the context may end with it.
-		stop := b.clock.AfterFunc(a.DeadlineMs-b.clock.NowMs(), func() { cancel(context.DeadlineExceeded) })
-		defer stop()
-		defer cancel(nil)
+		defer cancel(nil) // the body of an answer has been read by then
 		b.finish(a, b.attempt(ctx, a))
 	}()
 	return func() { cancel(context.Canceled) }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -16,6 +16,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/standin"
 )
 
 // sink collects the ends of attempts and probes.
@@ -31,7 +32,7 @@
 
 // stand is a storage node that does with each request what the next byte of its script says.
 type stand struct {
-	ln   net.Listener
+	addr string
 	acts chan byte
 	seen atomic.Int32 // whole requests
 }
@@ -55,26 +56,12 @@
 	policy.Reset, policy.Reset, policy.Error, policy.OK}
 
 func newStand(t testing.TB) *stand {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	s := &stand{ln: ln, acts: make(chan byte, 1)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go s.connection(c)
-		}
-	}()
+	s := &stand{acts: make(chan byte, 1)}
+	s.addr = standin.Serve(t, s.connection)
 	return s
 }
 
 func (s *stand) connection(c net.Conn) {
-	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
@@ -140,7 +127,7 @@
 		node := newStand(t)
 		b, s, _, now := newBackend()
 		defer b.Close()
-		n := &core.Node{Addr: node.ln.Addr().String()}
+		n := &core.Node{Addr: node.addr}
 		for i, x := range script[:min(len(script), 12)] {
 			act, put := int(x&127)%acts, x >= 128
 			node.acts <- byte(act)
@@ -165,7 +152,7 @@
 
 func TestNeverRanWithoutAConnection(t *testing.T) {
 	b, s, _, now := newBackend()
-	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	ln := standin.Listen(t)
 	ln.Close()
 	b.Start(core.Attempt{Request: request(true), Node: &core.Node{Addr: ln.Addr().String()}, DeadlineMs: now.NowMs() + 1000})
 	if res := <-s.ends; res.Status != policy.ConnectFailed {
@@ -175,17 +162,11 @@
 
 // What the node has read in part has not run: the connection breaks before the request's last byte is written.
 func TestBrokenBeforeTheLastByte(t *testing.T) {
-	ln, _ := net.Listen("tcp", "127.0.0.1:0")
-	defer ln.Close()
+	addr := standin.Serve(t, func(c net.Conn) { c.Read(make([]byte, 10)) })
 	b, s, _, now := newBackend()
-	go func() {
-		c, _ := ln.Accept()
-		c.Read(make([]byte, 10))
-		c.Close()
-	}()
 	r := request(true)
 	r.Load.(*Load).Body = bytes.Repeat([]byte("x"), 32<<20) // more than the sockets take in
-	b.Start(core.Attempt{Request: r, Node: &core.Node{Addr: ln.Addr().String()}, DeadlineMs: now.NowMs() + 1000})
+	b.Start(core.Attempt{Request: r, Node: &core.Node{Addr: addr}, DeadlineMs: now.NowMs() + 1000})
 	if res := <-s.ends; res.Status != policy.ConnectFailed {
 		t.Errorf("status %d", res.Status)
 	}
@@ -196,7 +177,7 @@
 	node := newStand(t)
 	b, s, _, now := newBackend()
 	c := core.New(nil, nil)
-	n := &core.Node{Name: "a", Addr: node.ln.Addr().String()}
+	n := &core.Node{Name: "a", Addr: node.addr}
 	c.Nodes(core.List{Scope: policy.Whole, Nodes: []*core.Node{n}})
 	c.Nodes(core.List{Scope: policy.Whole}) // the module sent just before
 	b.Start(core.Attempt{Request: request(false), Node: n, DeadlineMs: now.NowMs() + 1000})
@@ -208,7 +189,7 @@
 func TestTimeoutCancelAndCap(t *testing.T) {
 	node := newStand(t)
 	b, s, m, now := newBackend()
-	a := core.Attempt{Request: request(true), Node: &core.Node{Addr: node.ln.Addr().String()}, DeadlineMs: now.NowMs() + 1000}
+	a := core.Attempt{Request: request(true), Node: &core.Node{Addr: node.addr}, DeadlineMs: now.NowMs() + 1000}
 	seen := func(n int32) { // the node holds the request, since no act has been given
 		for node.seen.Load() < n {
 		}
@@ -241,7 +222,7 @@
 		want policy.Status
 	}{{serve, policy.OK}, {turnAway, policy.Error}, {halfAnswer, policy.Reset}} {
 		node.acts <- c.act
-		if b.Probe(&core.Node{Addr: node.ln.Addr().String()}); <-s.probes != c.want {
+		if b.Probe(&core.Node{Addr: node.addr}); <-s.probes != c.want {
 			t.Errorf("act %d: not %d", c.act, c.want)
 		}
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,14 @@
 // Ms turns a time.Duration into milliseconds.
 func Ms(d time.Duration) float64 { return float64(d) / 1e6 }
 
+// WithDeadline returns a context that ends with context.DeadlineExceeded as its cause when the clock shows ms.
+func WithDeadline(c Clock, ms float64) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	stop := c.AfterFunc(ms-c.NowMs(), func() { cancel(context.DeadlineExceeded) })
+	context.AfterFunc(ctx, stop)
+	return ctx, cancel
+}
+
 // System is the machine's clock: the wall clock at the start, advanced by the monotonic one, so that a
 // step of the wall clock moves no deadline.
 type System struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,20 +47,21 @@
 	Result     any     // with Served: what the node answered; opaque here
 }
 
-// Node is a storage node as listed. Its fields never change; a new entry replaces it.
+// Node is a storage node as listed. Its fields never change; a new entry replaces it, and what the list says
+// later of the same process at the same address closes all of its entries, since attempts may hold old ones.
 type Node struct {
 	Name, Addr, Zone, Kind string
 	Shard                  int
 	Weight, StartedMs      float64
 	State                  policy.NodeState
 
-	closed atomic.Bool
+	closed *atomic.Bool
 	known  policy.NodeID
 }
 
 // Closed tells whether the list has since named the node draining, gone or moved. A carrier checks it before
 // the first byte of an attempt that had to wait: a drain is counted from that byte.
-func (n *Node) Closed() bool { return n.closed.Load() }
+func (n *Node) Closed() bool { return n.closed != nil && n.closed.Load() }
 
 // List is news of the node list.
 type List struct {
@@ -221,10 +222,13 @@
 		}
 		n.known = id
 		listed[id] = true
-		if old := c.nodes[id]; old != nil && old.Addr != n.Addr {
-			old.closed.Store(true)
-		} else if old != nil && n.State != policy.Live {
-			old.closed.Store(true)
+		n.closed = &atomic.Bool{}
+		if old := c.nodes[id]; old != nil {
+			if old.Addr == n.Addr && !old.Closed() {
+				n.closed = old.closed
+			} else {
+				old.closed.Store(true) // moved
+			}
 		}
 		n.closed.Store(n.State != policy.Live)
 		c.nodes[id] = n
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -166,6 +166,24 @@
 	}
 }
 
+// An attempt may hold an entry that a refreshed one has replaced: the drain closes both. A node that comes back
+// does not reopen what was meant for the process before.
+func TestARefreshedEntryClosesWithItsNode(t *testing.T) {
+	c := core.New(&script{}, &quiet{})
+	var held []*core.Node
+	for _, state := range []policy.NodeState{policy.Live, policy.Live, policy.Draining, policy.Live} {
+		l := nodes(state)
+		l.Scope = policy.Patch
+		c.Nodes(l)
+		held = append(held, l.Nodes[0])
+	}
+	for i, want := range []bool{true, true, true, false} {
+		if held[i].Closed() != want {
+			t.Errorf("entry %d: closed %v", i, !want)
+		}
+	}
+}
+
 // A client may be gone before the loop has come to its request.
 func TestGoneBeforeTaken(t *testing.T) {
 	mod := &script{}
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -182,3 +183,36 @@
 		t.Errorf("metrics %q", b)
 	}
 }
+
+// Over the limit the connection that has been idle longest goes; busy ones stay.
+func TestIdleConnectionsAreShed(t *testing.T) {
+	c := &Conns{Most: 2}
+	var ours, theirs [4]net.Conn
+	for i := range ours {
+		ours[i], theirs[i] = net.Pipe()
+		defer ours[i].Close()
+	}
+	c.State(ours[0], http.StateNew)
+	c.State(ours[0], http.StateActive)
+	c.State(ours[1], http.StateNew)
+	c.State(ours[1], http.StateIdle)
+	c.State(ours[0], http.StateIdle)
+	c.State(ours[1], http.StateActive)
+	c.State(ours[1], http.StateIdle) // 0 has been idle longer now
+	c.State(ours[2], http.StateNew)
+	if _, err := theirs[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the longest idle: %v", err)
+	}
+	c.State(ours[0], http.StateClosed)
+	c.State(ours[1], http.StateActive)
+	c.State(ours[3], http.StateNew) // none is idle: nothing to shed
+	for i, nc := range ours[1:] {
+		go theirs[i+1].Read(make([]byte, 1))
+		if _, err := nc.Write([]byte("x")); err != nil {
+			t.Errorf("connection %d: %v", i+1, err)
+		}
+	}
+	if c.open != 3 {
+		t.Errorf("%d open", c.open)
+	}
+}
--- a/internal/sftpbackend/backend.go
+++ b/internal/sftpbackend/backend.go
@@ -93,10 +93,8 @@
 
 // Start implements core.Carrier.
 func (b *Backend) Start(a core.Attempt) func() {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := clock.WithDeadline(b.clock, a.DeadlineMs)
 	go func() {
-		stop := b.clock.AfterFunc(a.DeadlineMs-b.clock.NowMs(), func() { cancel(context.DeadlineExceeded) })
-		defer stop()
 		defer cancel(nil)
 		b.attempt(ctx, a)
 	}()
--- a/internal/sftpbackend/backend_test.go
+++ b/internal/sftpbackend/backend_test.go
@@ -12,6 +12,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/standin"
 )
 
 // The acts of a stand-in file port on the packet that carries the command, or on the OPEN before it.
@@ -34,26 +35,12 @@
 }
 
 func newPort(t testing.TB) *port {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	p := &port{addr: ln.Addr().String(), acts: make(chan byte, 2)}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go p.connection(c)
-		}
-	}()
+	p := &port{acts: make(chan byte, 2)}
+	p.addr = standin.Serve(t, p.connection)
 	return p
 }
 
 func (p *port) connection(c net.Conn) {
-	defer c.Close()
 	for {
 		typ, body, err := readPacket(c)
 		if err != nil {
--- a/internal/sftpfront/front_test.go
+++ b/internal/sftpfront/front_test.go
@@ -25,6 +25,7 @@
 	"gaugerelay/internal/sftpbackend"
 	"gaugerelay/internal/sftpfront"
 	"gaugerelay/internal/standin"
+	"gaugerelay/internal/standin/fileserver"
 )
 
 // rig is a gateway with its file front before one stand-in file server.
@@ -33,7 +34,7 @@
 	clock  *clock.Manual
 	loop   *loop.Loop
 	counts *metrics.Set
-	files  *standin.FileServer
+	files  *fileserver.Server
 	front  *sftpfront.Front
 	ln     net.Listener
 }
@@ -47,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, clock: clock.NewManual(start), counts: metrics.New(), files: standin.NewFileServer(t), ln: standin.Listen(t)}
+	r := &rig{t: t, clock: clock.NewManual(start), counts: metrics.New(), files: fileserver.New(t), ln: standin.Listen(t)}
 	r.loop = loop.New(scheduler, r.clock, r.counts)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -255,7 +256,7 @@
 	r := newRig(t)
 	r.files.Put("/layers/a", []byte("data"))
 	reached, release := make(chan struct{}), make(chan struct{})
-	r.files.Answer = func(c standin.Command) error {
+	r.files.Answer = func(c fileserver.Command) error {
 		if c.Op == "read" {
 			close(reached)
 			<-release
@@ -288,7 +289,7 @@
 	r := newRig(t)
 	r.files.Put("/layers/a", nil)
 	var failures atomic.Int32
-	r.files.After = func(c standin.Command) error {
+	r.files.After = func(c fileserver.Command) error {
 		if c.Op == "write" && failures.Add(-1) >= 0 {
 			return errors.New("no answer made it out")
 		}
@@ -360,7 +361,7 @@
 	reached, release := make(chan struct{}), make(chan struct{})
 	defer close(release)
 	var once sync.Once
-	r.files.Answer = func(c standin.Command) error {
+	r.files.Answer = func(c fileserver.Command) error {
 		if c.Op == "write" {
 			once.Do(func() { close(reached) })
 			<-release
@@ -386,7 +387,7 @@
 		t.Fatal(err)
 	}
 	reached, release := make(chan struct{}), make(chan struct{})
-	r.files.Answer = func(c standin.Command) error {
+	r.files.Answer = func(c fileserver.Command) error {
 		if c.Op == "read" {
 			close(reached)
 			<-release
@@ -408,7 +409,7 @@
 
 // The library's client sends a second READ after a short one, which is why sftpbackend has its own codec.
 func TestLibraryClientSendsASecondRead(t *testing.T) {
-	files := standin.NewFileServer(t)
+	files := fileserver.New(t)
 	files.Put("/a", []byte("1234"))
 	c, err := net.Dial("tcp", files.Addr)
 	if err != nil {
--- a/internal/sftpfront/mixed_test.go
+++ b/internal/sftpfront/mixed_test.go
@@ -25,6 +25,7 @@
 	"gaugerelay/internal/sftpbackend"
 	"gaugerelay/internal/sftpfront"
 	"gaugerelay/internal/standin"
+	"gaugerelay/internal/standin/fileserver"
 )
 
 // meter is the limit's store of each volume, kept where the nodes are, as the rule counts it.
@@ -82,8 +83,8 @@
 			io.WriteString(w, "data")
 		}))
 		defer node.Close()
-		files := standin.NewFileServer(t)
-		files.Answer = func(c standin.Command) error {
+		files := fileserver.New(t)
+		files.Answer = func(c fileserver.Command) error {
 			volume, _ := strconv.ParseUint(strings.Split(c.Path, "/")[1], 10, 64)
 			switch {
 			case c.Op != "open":
