--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -89,6 +89,7 @@
 	}
 	go lp.Run(ctx)
 	lp.Nodes(cfg.Known)
+	counts.Add("discovery_bad_entries", int64(cfg.KnownBad))
 
 	var draining atomic.Bool
 	front := &httpfront.Front{Loop: lp, Carrier: back, Clock: sys, Metrics: counts, Settings: &cfg.Settings,
@@ -178,7 +179,4 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB * 0.75 * (1 << 20)))
 	}
-	if cfg.Sockets == 0 {
-		cfg.Sockets = 1024
-	}
 }
--- a/internal/sftpbackend/backend_test.go
+++ b/internal/sftpbackend/backend_test.go
@@ -173,3 +173,30 @@
 		t.Errorf("status %d, the old session in use: %v", r.Status, idle() == first)
 	}
 }
+
+// A WRITE that the node cuts off before its last byte has not run, and ends once.
+func TestWriteCutOffByTheNode(t *testing.T) {
+	addr := standin.Serve(t, func(c net.Conn) {
+		readPacket(c) // INIT
+		c.Write(newPacket(typeVersion, version).done())
+		_, body, _ := readPacket(c) // OPEN
+		c.Write(newPacket(typeHandle, binary.BigEndian.Uint32(body)).text("h").done())
+		c.Read(make([]byte, 10))
+	})
+	now, ends, m := clock.NewManual(1e12), make(chan core.Result, 2), metrics.New()
+	b := New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 1,
+		Address: func(*core.Node) (string, bool) { return addr, true }}, now, m, func(_ core.Attempt, r core.Result) { ends <- r })
+	cmd := &Command{Op: Write, Path: "/a", Key: "k", Data: make([]byte, 32<<20)} // more than the sockets take in
+	b.Start(core.Attempt{Request: &core.Request{Load: cmd}, Node: &core.Node{}, DeadlineMs: 2e12})
+	if r := <-ends; r.Status != policy.Full {
+		t.Errorf("status %d", r.Status)
+	}
+	for free := false; !free; { // the session is given back, so nothing of the attempt is left
+		b.mu.Lock()
+		free = b.count == 0
+		b.mu.Unlock()
+	}
+	if len(ends) != 0 {
+		t.Error("a second end")
+	}
+}
