--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -127,7 +127,6 @@
 type Core struct {
 	policy Policy
 	out    Outside
-	marks  bool // clients mark their repeats
 	events []policy.Event
 	open   map[policy.RequestID]*entry
 	nodes  map[policy.NodeID]*Node
