--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +39,13 @@
 const (
 	keepMs   = 250 // after SIGTERM connections are kept so long, then each answer closes its own
 	acceptMs = 600 // and new ones are accepted so long: clients learn of the stop with a delay
+
+	// A client has these times. The first two count from its connecting, or from the first byte of a further
+	// request; one that takes longer is not on a poor link but holds a connection that another could use.
+	headTime    = 2700 * time.Millisecond // for its head
+	requestTime = 2700 * time.Millisecond // for all of its request
+	answerTime  = 2 * time.Second         // to take an answer
+	idleTime    = 30 * time.Second        // between requests
 )
 
 func main() {
@@ -51,6 +59,9 @@
 }
 
 func run(edgeFile string) error {
+	// From the first moment on, and in a queue: SIGHUP would end the program, and one signal hide the next.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -96,13 +107,13 @@
 		Draining: draining.Load}
 	clients := max(1, cfg.Sockets*3/8)
 	conns := &httpfront.Conns{Most: clients * 7 / 8}
-	// A client has these times to send a request and, behind the longest deadline, to take its answer.
-	patience := 10 * time.Second
+	longest := time.Duration(0)
 	for _, c := range cfg.Settings.Classes {
-		patience = max(patience, c.Deadline+10*time.Second)
+		longest = max(longest, c.Deadline)
 	}
-	server := &http.Server{Handler: front, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: patience,
-		WriteTimeout: patience, IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: conns.State}
+	server := &http.Server{Handler: front, ReadHeaderTimeout: headTime, ReadTimeout: requestTime,
+		WriteTimeout: longest + answerTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10, ConnState: conns.State,
+		DisableGeneralOptionsHandler: true}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(netutil.LimitListener(ln, clients)) }()
 	log.Printf("%s: listening on %s", cfg.Name, ln.Addr())
@@ -113,16 +124,21 @@
 		}
 	}
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	for {
 		select {
 		case err := <-ended:
 			return err
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				counts.Print(os.Stderr)
 				continue
+			case syscall.SIGHUP:
+				if next := reload(cfg, counts); next != nil {
+					cfg = next
+					watcher.Move(ctx, cfg.Discovery)
+				}
+				continue
 			}
 			log.Printf("%s: stopping", cfg.Name)
 			draining.Store(true)
@@ -143,6 +159,26 @@
 	}
 }
 
+// reload reads the configuration anew. It returns nil, with all as it was, where that cannot be used: a gateway
+// that serves must not end or stop following its nodes over a bad file.
+func reload(cfg *config.Config, m *metrics.Set) *config.Config {
+	next, err := cfg.Reload(os.Getenv)
+	if err == nil {
+		_, err = policy.New(next.Settings, next.Seed) // also what a later start would refuse
+	}
+	if err != nil {
+		m.Add("reloads_failed", 1)
+		log.Printf("reload: the old settings stay: %v", err)
+		return nil
+	}
+	m.Add("reloads", 1)
+	if names := cfg.Restart(next); len(names) > 0 {
+		log.Printf("reload: changed, and read at the next start only: %s", strings.Join(names, ", "))
+	}
+	log.Printf("reload: discovery at %s", next.Discovery)
+	return next
+}
+
 // drain ends the HTTP server. For a while clients go on coming; all that was taken gets its answer.
 func drain(server *http.Server, pause func(ms float64)) {
 	pause(keepMs)
--- a/cmd/gaugerelay/main_test.go
+++ b/cmd/gaugerelay/main_test.go
@@ -224,3 +224,63 @@
 		t.Error("still listening")
 	}
 }
+
+// SIGHUP moves the watch to the file's new address; with a bad file all stays; serving goes on through both, and
+// SIGTERM still ends the program well.
+func TestReload(t *testing.T) {
+	watched := make(chan string, 4)
+	var discoveries [2]string
+	for i := range discoveries {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, `{"version":9,"full":true,"servers":[]}`+"\n")
+			w.(http.Flusher).Flush()
+			watched <- fmt.Sprint(i, " ", r.URL.RawQuery)
+			<-r.Context().Done()
+		}))
+		defer srv.Close()
+		discoveries[i] = srv.Listener.Addr().String()
+	}
+	text := strings.Replace(fmt.Sprintf(settings, "127.0.0.1:0", "127.0.0.1:1"), `"Siblings"`, `"Discovery":"ask","Siblings"`, 1)
+	at := func(i int) string { return strings.Replace(text, "127.0.0.1:1", discoveries[i], 1) }
+	cmd, until := started(t, at(0))
+	addr := after(until("listening on"))
+	file := configFile(cmd)
+	reload := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	want := func(what string) {
+		t.Helper()
+		if got := <-watched; got != what {
+			t.Errorf("watched %q, want %q", got, what)
+		}
+		resp, err := http.Get("http://" + addr + "/ready")
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("ready: %v %v", resp, err)
+		}
+	}
+	want("0 watch=1&after=1")
+	reload(`{"listen":`)
+	until("the old settings stay")
+	reload(strings.Replace(text, `"Lanes"`, `"Gone"`, 1)) // readable, but the module cannot use it
+	until("the old settings stay")
+	reload(at(1))
+	until("discovery at " + discoveries[1])
+	want("1 watch=1&after=0")
+	reload(at(0))
+	want("0 watch=1&after=0")
+	cmd.Process.Signal(syscall.SIGHUP)
+	cmd.Process.Signal(syscall.SIGTERM)
+	until("stopping")
+	cmd.Process.Signal(syscall.SIGHUP)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// configFile is the file that a program was started with.
+func configFile(cmd *exec.Cmd) string {
+	return strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "ROUTER_CONFIG=")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -37,6 +38,8 @@
 	KnownBad                int // entries of it that could not be read
 	Settings                policy.Settings
 	ConnIdleMs, ConnectMs   float64
+
+	fileDiscovery string // Discovery as the file has it
 }
 
 // Load reads the configuration; getenv is os.Getenv but for tests.
@@ -67,6 +70,41 @@
 	return c, nil
 }
 
+// Reload reads the configuration anew for a program that runs with c. The variables are as old as the program,
+// so a discovery address that has changed in the file comes before the one among them.
+func (c *Config) Reload(getenv func(string) string) (*Config, error) {
+	next, err := Load(getenv)
+	if err != nil {
+		return nil, err
+	}
+	if next.fileDiscovery == "" || next.fileDiscovery == c.fileDiscovery {
+		next.Discovery = c.Discovery
+		return next, nil
+	}
+	if _, _, err := net.SplitHostPort(next.fileDiscovery); err != nil {
+		return nil, fmt.Errorf("discovery address %q: not host:port", next.fileDiscovery)
+	}
+	next.Discovery = next.fileDiscovery
+	return next, nil
+}
+
+// Restart names what differs between two configurations and is read at the start only.
+func (c *Config) Restart(next *Config) (names []string) {
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings) && c.ConnIdleMs == next.ConnIdleMs && c.ConnectMs == next.ConnectMs},
+	} {
+		if !f.same {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
 // Parse reads the JSON text.
 func Parse(text []byte) (*Config, error) {
 	v, err := fastjson.ParseBytes(text)
@@ -79,6 +117,7 @@
 		Cores: r.num(v, "limits", "cores"), MemoryMB: r.num(v, "limits", "memory_mb"),
 		Sockets: int(r.num(v, "limits", "sockets")),
 	}
+	c.fileDiscovery = c.Discovery
 	if seed := r.str(v, "seed"); seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed %q: not 64 bits in hex", seed)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -154,3 +154,44 @@
 		t.Errorf("an empty file turns something on: %+v, %v", e, err)
 	}
 }
+
+// A reload prefers a discovery address that has changed in the file to the variable of the start, and names what
+// only a new start takes in; a bad file is an error.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	env := map[string]string{"ROUTER_CONFIG": path, "ROUTER_DISCOVERY": "127.0.0.9:1"}
+	getenv := func(name string) string { return env[name] }
+	write(good)
+	c, err := Load(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct{ old, new, discovery, restart string }{
+		{"", "", "127.0.0.9:1", ""},
+		{"127.0.0.2:8500", "127.0.0.4:8500", "127.0.0.4:8500", ""},
+		{"127.0.0.2:8500", "127.0.0.4:8500", "127.0.0.4:8500", ""},
+		{`"Shares":1`, `"Shares":3`, "127.0.0.2:8500", "settings"},
+		{`"sockets":1024`, `"sockets":512`, "127.0.0.2:8500", "limits,settings"}, // against the step before
+	} {
+		write(strings.Replace(good, step.old, step.new, 1))
+		next, err := c.Reload(getenv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if names := strings.Join(c.Restart(next), ","); next.Discovery != step.discovery || names != step.restart {
+			t.Errorf("%q: discovery %s, restart for %q", step.new, next.Discovery, names)
+		}
+		c = next
+	}
+	for _, text := range []string{"", "{", strings.Replace(good, "127.0.0.2:8500", "nowhere", 1)} {
+		write(text)
+		if next, err := c.Reload(getenv); err == nil {
+			t.Errorf("%.20q: %+v", text, next)
+		}
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,24 +58,28 @@
 	return l, bad
 }
 
-// Watcher holds the watch.
+// Watcher holds the watch: one at most, at one address.
 type Watcher struct {
-	Addr    string
 	Clock   clock.Clock
 	Metrics *metrics.Set
 	// Tell takes each change; a Broken list tells that a watch failed or ended. When to ask again is not
 	// decided here: the module backs off with jitter.
 	Tell func(core.List)
 
+	client *http.Client
+
 	mu      sync.Mutex
-	busy    bool
-	version uint64
-	client  *http.Client
+	addr    string
+	version uint64        // told last from addr
+	open    bool          // a watch is open or on its way
+	moving  bool          // Move starts the next watch
+	end     func()        // gives up the latest watch
+	ended   chan struct{} // closed once that has told its last
 }
 
 // New returns a watcher that resumes after a version.
 func New(addr string, version uint64, c clock.Clock, m *metrics.Set, tell func(core.List)) *Watcher {
-	return &Watcher{Addr: addr, Clock: c, Metrics: m, Tell: tell, version: version,
+	return &Watcher{addr: addr, Clock: c, Metrics: m, Tell: tell, version: version,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}}
 }
@@ -84,25 +88,58 @@
 func (w *Watcher) Start(ctx context.Context) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.busy {
+	if !w.open && !w.moving {
+		w.start(ctx)
+	}
+}
+
+// Move gives up the open watch, if any, and opens one at another address. It waits until the old one has told
+// its last, so nothing from there comes behind the new list; hence it must not be called by whoever takes what
+// is told. The whole list is asked for: versions at one address need mean nothing at another.
+func (w *Watcher) Move(ctx context.Context, addr string) {
+	w.mu.Lock()
+	if w.addr == addr {
+		w.mu.Unlock()
 		return
 	}
-	w.busy = true
-	go func() {
-		err := w.watch(ctx, w.version)
+	w.moving = true
+	ended := w.ended
+	if ended != nil {
+		w.end()
+	}
+	w.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addr, w.version, w.moving = addr, 0, false
+	w.start(ctx)
+}
+
+// start opens a watch. w.mu is held.
+func (w *Watcher) start(ctx context.Context) {
+	watching, end := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	w.open, w.end, w.ended = true, end, ended
+	go func(addr string, after uint64) {
+		defer close(ended)
+		defer end()
+		err := w.watch(watching, addr, after)
 		w.mu.Lock()
-		w.busy = false
+		w.open = false
+		known := w.moving || ctx.Err() != nil
 		w.mu.Unlock()
-		if ctx.Err() == nil {
+		if !known {
 			w.Metrics.Add("watch_broken", 1)
 			log.Printf("discovery: watch ended: %v", err)
 			w.Tell(core.List{Scope: policy.Broken})
 		}
-	}()
+	}(w.addr, w.version)
 }
 
 // watch reads one watch to its end.
-func (w *Watcher) watch(ctx context.Context, after uint64) error {
+func (w *Watcher) watch(ctx context.Context, addr string, after uint64) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := func() {}
@@ -112,7 +149,7 @@
 		stop = w.Clock.AfterFunc(ms, func() { cancel(errors.New("silent")) })
 	}
 	arm(answerMs)
-	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&after=%d", w.Addr, after)
+	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&after=%d", addr, after)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -144,7 +181,11 @@
 		w.Metrics.Add("discovery_lines", int64(len(l.Nodes)))
 		w.mu.Lock()
 		w.version = l.Version
+		stale := w.moving
 		w.mu.Unlock()
+		if stale {
+			return errors.New("moved")
+		}
 		w.Tell(l)
 	}
 	if err := context.Cause(ctx); err != nil {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	policy "gaugerelay"
 
@@ -61,9 +62,13 @@
 	req, code, err := f.parse(r)
 	if err != nil {
 		f.Metrics.Add("requests_malformed", 1)
+		w.Header().Set("Connection", "close") // where its body ends, or what follows it, is anyone's guess
 		http.Error(w, err.Error(), code)
 		return
 	}
+	// The server's time to read the request ends here. It would also end the watch on the client's leaving, and
+	// with it the request, under one that only waits for its answer.
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	answers := make(chan core.Answer, 1) // one answer fits, so the loop never waits
 	req.Reply = func(a core.Answer) { answers <- a }
 	req.LeftMs -= marginMs + (f.Clock.NowMs() - arrived)
@@ -121,6 +126,12 @@
 	bad := func(format string, args ...any) (*core.Request, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
+	// net/http drops a Content-Length that comes beside a Transfer-Encoding, as RFC 9112 lets it, so the two
+	// together cannot be told here from the latter alone. What another reader takes for the body may hide a
+	// request that this one would serve, so a length is required.
+	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 {
+		return nil, http.StatusLengthRequired, errors.New("a Content-Length is required, and no Transfer-Encoding")
+	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPut {
 		return nil, http.StatusMethodNotAllowed, errors.New("GET or PUT")
 	}
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -109,6 +109,9 @@
 		"negative units": {header("X-IO", "volume=1,units=-2,shard=3,hosts=1"), 400},
 		"shard":          {header("X-IO", "volume=1,units=2,shard=-2,hosts=1"), 400},
 		"volume":         {header("X-IO", "volume=x,units=2,shard=3,hosts=1"), 400},
+		// net/http drops the length that came beside it before the handler sees the request
+		"encoded body":   {func(r *http.Request) { r.TransferEncoding, r.ContentLength = []string{"chunked"}, -1 }, 411},
+		"unknown length": {func(r *http.Request) { r.ContentLength = -1 }, 411},
 		"large body": {func(r *http.Request) {
 			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", backend.MaxBody+1)))
 		}, 413},
@@ -116,7 +119,8 @@
 		f, l, _ := newFront(answering(core.Answer{}))
 		w := httptest.NewRecorder()
 		f.ServeHTTP(w, request(c.change))
-		if w.Code != c.code || len(l.taken) != 0 || strings.Count(w.Body.String(), "\n") != 1 {
+		if w.Code != c.code || len(l.taken) != 0 || strings.Count(w.Body.String(), "\n") != 1 ||
+			w.Header().Get("Connection") != "close" {
 			t.Errorf("%s: %d %q, %d taken", name, w.Code, w.Body, len(l.taken))
 		}
 	}
