Shed a client's connection only while nothing has been read from it

Checked with a trace of takes, ends and attempts: the client id was taken twice, 0.25 ms apart, the first ending with its context cancelled. Ruled out: resends by the transport and wrong "never ran" (each attempt ended once, with OK). At fault: Conns.State (httpfront/conns.go) closed connections that net/http called idle; it calls one active only once a whole head has come, so a request just read was taken on a connection being closed, and its client rightly sent it again. Now a read and a shed exclude each other, and silent connections are shed as well, before idle ones.

Idle connections now go after the 2 s that the platform names once half of the room is taken.

--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -106,7 +106,7 @@
 	front := &httpfront.Front{Loop: lp, Carrier: back, Clock: sys, Metrics: counts, Settings: &cfg.Settings,
 		Draining: draining.Load}
 	clients := max(1, cfg.Sockets*3/8)
-	conns := &httpfront.Conns{Most: clients * 7 / 8}
+	conns := &httpfront.Conns{Most: max(1, clients*7/8), Clock: sys, Metrics: counts}
 	longest := time.Duration(0)
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
@@ -115,7 +115,7 @@
 		WriteTimeout: longest + answerTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10, ConnState: conns.State,
 		DisableGeneralOptionsHandler: true}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(netutil.LimitListener(ln, clients)) }()
+	go func() { ended <- server.Serve(conns.Listen(netutil.LimitListener(ln, clients))) }()
 	log.Printf("%s: listening on %s", cfg.Name, ln.Addr())
 	endFiles := func() {}
 	if edge.Files != nil {
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -188,35 +189,142 @@
 	}
 }
 
-// Over the limit the connection that has been idle longest goes; busy ones stay.
-func TestIdleConnectionsAreShed(t *testing.T) {
-	c := &Conns{Most: 2}
-	var ours, theirs [4]net.Conn
-	for i := range ours {
-		ours[i], theirs[i] = net.Pipe()
-		defer ours[i].Close()
-	}
-	c.State(ours[0], http.StateNew)
-	c.State(ours[0], http.StateActive)
-	c.State(ours[1], http.StateNew)
-	c.State(ours[1], http.StateIdle)
-	c.State(ours[0], http.StateIdle)
-	c.State(ours[1], http.StateActive)
-	c.State(ours[1], http.StateIdle) // 0 has been idle longer now
-	c.State(ours[2], http.StateNew)
-	if _, err := theirs[0].Read(make([]byte, 1)); err != io.EOF {
-		t.Errorf("the longest idle: %v", err)
-	}
-	c.State(ours[0], http.StateClosed)
-	c.State(ours[1], http.StateActive)
-	c.State(ours[3], http.StateNew) // none is idle: nothing to shed
-	for i, nc := range ours[1:] {
-		go theirs[i+1].Read(make([]byte, 1))
-		if _, err := nc.Write([]byte("x")); err != nil {
-			t.Errorf("connection %d: %v", i+1, err)
+// FuzzConns checks random steps against a model of each connection: silent, busy, idle or closed. Over the limit
+// the ones that have been silent or idle longest are shed; one from which a request has been read never is.
+func FuzzConns(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 9, 2, 10, 6, 0, 0})
+	f.Add([]byte{0, 1, 2, 0, 9, 10, 7, 0, 7, 0, 3, 11, 0, 7})
+	f.Add([]byte{0, 0, 0, 0, 1, 9, 17, 25, 0, 0, 2, 10, 7, 7, 7, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		now := clock.NewManual(1e12)
+		c := &Conns{Most: 3, Clock: now, Metrics: metrics.New()}
+		type model struct {
+			k     *client
+			peer  net.Conn
+			state http.ConnState
 		}
+		var all []*model
+		defer func() {
+			for _, m := range all {
+				m.k.Conn.Close()
+			}
+		}()
+		for i, s := range steps[:min(len(steps), 60)] {
+			if s%8 == 0 || len(all) == 0 {
+				ours, theirs := net.Pipe()
+				m := &model{&client{Conn: ours, conns: c}, theirs, http.StateNew}
+				all = append(all, m)
+				c.State(m.k, http.StateNew)
+			} else {
+				m := all[int(s>>3)%len(all)]
+				switch s % 8 {
+				case 1, 5: // the client says something
+					if m.state == http.StateNew || m.state == http.StateIdle {
+						go m.peer.Write([]byte("x"))
+						n, err := m.k.Read(make([]byte, 1))
+						if (n == 1) == m.k.shed {
+							t.Fatalf("step %d: read %d, %v of one shed: %v", i, n, err, m.k.shed)
+						}
+						if n == 1 {
+							m.state = http.StateActive // as the model has it: the server has yet to notice
+						}
+					}
+				case 2: // its answer is written
+					if m.state == http.StateActive {
+						c.State(m.k, http.StateActive)
+						c.State(m.k, http.StateIdle)
+						m.state = http.StateIdle
+					}
+				case 3: // it ends
+					if m.state != http.StateClosed {
+						c.State(m.k, http.StateClosed)
+						m.state = http.StateClosed
+					}
+				default:
+					now.Advance(400)
+				}
+			}
+			open, sheddable := 0, 0
+			for j, m := range all {
+				if m.k.shed && m.state == http.StateActive {
+					t.Fatalf("step %d: connection %d was shed with a request", i, j)
+				}
+				if !m.k.shed && m.state != http.StateClosed {
+					open++
+					if m.state != http.StateActive {
+						sheddable++
+					}
+				}
+			}
+			if open != c.open || open > c.Most && sheddable > 0 {
+				t.Fatalf("step %d: %d open, counted as %d, %d could be shed", i, open, c.open, sheddable)
+			}
+		}
+	})
+}
+
+// A request read from a connection that is shed at that moment is not taken: its client sends it once more.
+func TestReadLosesToShedding(t *testing.T) {
+	c := &Conns{Most: 1, Clock: clock.NewManual(0), Metrics: metrics.New()}
+	ours, theirs := net.Pipe()
+	k := &client{conns: c}
+	k.Conn = reading{ours, func() { c.drop(k) }}
+	c.State(k, http.StateNew)
+	go theirs.Write([]byte("GET"))
+	if n, err := k.Read(make([]byte, 3)); n != 0 || err == nil {
+		t.Errorf("read %d, %v", n, err)
 	}
-	if c.open != 3 {
-		t.Errorf("%d open", c.open)
+}
+
+// reading is a connection on which something happens just behind each read.
+type reading struct {
+	net.Conn
+	then func()
+}
+
+func (r reading) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	r.then()
+	return n, err
+}
+
+// Connections that are kept idle go after the platform's two seconds once half of the room is taken, and not
+// before; a silent one goes before those only if it has had time to speak.
+func TestIdleAndSilentConnections(t *testing.T) {
+	now := clock.NewManual(0)
+	c := &Conns{Most: 4, Clock: now, Metrics: metrics.New()}
+	k := make([]*client, 6)
+	add := func(i int, s http.ConnState) {
+		ours, _ := net.Pipe()
+		k[i] = &client{Conn: ours, conns: c}
+		c.State(k[i], http.StateNew)
+		if s != http.StateNew {
+			c.State(k[i], s)
+		}
+	}
+	gone := func(at string, want ...int) {
+		t.Helper()
+		for i := range k {
+			if k[i] != nil && k[i].shed != slices.Contains(want, i) {
+				t.Errorf("%s: connection %d shed: %v", at, i, k[i].shed)
+			}
+		}
 	}
+	add(0, http.StateIdle)
+	add(1, http.StateIdle)
+	now.Advance(60_000)
+	gone("half taken")
+	add(2, http.StateIdle)
+	gone("over half", 0)
+	add(3, http.StateIdle)
+	gone("over half again", 0, 1)
+	add(4, http.StateNew)
+	now.Advance(1999)
+	gone("just before", 0, 1)
+	now.Advance(1)
+	gone("after two seconds", 0, 1, 2)
+	add(5, http.StateNew)
+	c.Most = 1
+	c.State(k[5], http.StateActive)
+	gone("a silent one first", 0, 1, 2, 3, 4)
 }
