Hand on from a connection to a node the answer to its request and nothing else

A head that cannot be read ended as a reset, which made the module hold the whole node back though its other connections were good; one that never ends, or a length that does not fit, held its attempt until the client's time was up.

internal/backend/conn.go now follows each answer's framing. Surplus spoils the connection, and before a first byte goes out the socket is checked for anything unread; such an attempt takes another connection, having written nothing. A spoilt answer is an error, one over 64 KiB is not read at all, one begun must be whole within 250 ms. A load report with a field missing or not a number is none: it was read as 0, an idle node.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -75,43 +75,6 @@
 // Close closes the idle connections.
 func (b *Backend) Close() { b.transport.CloseIdleConnections() }
 
-var errClosedNode = errors.New("the node drains or is gone")
-
-// try follows one attempt through the transport.
-type try struct {
-	node *core.Node
-	head []byte // as far as it has been written, until its end is found
-	body int    // bytes of it still to be written once head is
-	ends bool   // the end of the head was found
-
-	whole atomic.Bool // the last byte has been handed to the connection
-}
-
-// passing takes in what is about to be written, before it is: a node may answer or break off before the write
-// returns. httptrace's WroteRequest cannot tell this: a body that follows its headers is copied to the
-// connection directly, so the node may have it whole, and have run it, before that hook is called.
-func (t *try) passing(p []byte) {
-	if !t.ends {
-		t.head = append(t.head, p...)
-		i := bytes.Index(t.head, []byte("\r\n\r\n"))
-		if i < 0 {
-			return
-		}
-		t.ends, p = true, t.head[i+4:]
-	}
-	if t.body -= len(p); t.body <= 0 {
-		t.whole.Store(true)
-	}
-}
-
-// conn is a connection to a node. It carries one attempt at a time, and knows which.
-type conn struct {
-	net.Conn
-	back *Backend
-	try  atomic.Pointer[try]
-	shut atomic.Bool
-}
-
 func (b *Backend) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	if b.conns.Add(1) > int64(b.opt.MaxConns) {
 		b.conns.Add(-1)
@@ -128,31 +91,6 @@
 	return &conn{Conn: c, back: b}, nil
 }
 
-// Write guards two rules. A drain counts from the first byte of a send, and the attempt may have waited for
-// this connection to come up; and an attempt has never run if its last byte was not written.
-func (c *conn) Write(p []byte) (int, error) {
-	t := c.try.Load()
-	if t == nil { // a probe
-		return c.Conn.Write(p)
-	}
-	if t.node.Closed() && !t.ends && len(t.head) == 0 {
-		return 0, errClosedNode
-	}
-	t.passing(p)
-	n, err := c.Conn.Write(p)
-	if n < len(p) {
-		t.whole.Store(false)
-	}
-	return n, err
-}
-
-func (c *conn) Close() error {
-	if c.shut.CompareAndSwap(false, true) {
-		c.back.conns.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
 // Start implements core.Carrier.
 func (b *Backend) Start(a core.Attempt) func() {
 	ctx, cancel := clock.WithDeadline(b.clock, a.DeadlineMs)
@@ -165,8 +103,20 @@
 
 // attempt runs one attempt to its end.
 func (b *Backend) attempt(ctx context.Context, a core.Attempt) core.Result {
+	for {
+		t := &try{node: a.Node, body: len(a.Request.Load.(*Load).Body)}
+		res := b.attemptOnce(ctx, a, t)
+		// A kept connection that turns out to be stale is gone by that, and nothing went out on it: taking another
+		// is no resend.
+		if !t.stale.Load() || res.Status == policy.OK || ctx.Err() != nil {
+			return res
+		}
+		b.metrics.Add("connections_stale", 1)
+	}
+}
+
+func (b *Backend) attemptOnce(ctx context.Context, a core.Attempt, t *try) core.Result {
 	load := a.Request.Load.(*Load)
-	t := &try{node: a.Node, body: len(load.Body)}
 	req := (&http.Request{
 		Method: load.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{Scheme: "http", Host: a.Node.Addr, Path: load.Path, RawPath: load.RawPath,
@@ -183,17 +133,18 @@
 	req.Header.Set("X-Time-Left-Ms", strconv.FormatFloat(left, 'f', 0, 64))
 	resp, err := b.transport.RoundTrip(req)
 	if err != nil {
-		return core.Result{Status: ended(ctx, t)}
+		return core.Result{Status: b.ended(ctx, t)}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	if err != nil {
+		return core.Result{Status: b.ended(ctx, t)}
+	}
 	res := core.Result{}
 	b.told(&res, resp.Header)
 	switch {
-	case err != nil:
-		res.Status = ended(ctx, t)
 	case len(body) > MaxBody:
-		b.metrics.Add("node_answers_too_large", 1)
+		b.metrics.Add("node_answers_spoilt", 1)
 		res.Status = policy.Error
 	case resp.StatusCode == http.StatusOK:
 		res.Status, res.Body = policy.OK, body
@@ -207,7 +158,7 @@
 }
 
 // ended tells how an attempt without an answer ended.
-func ended(ctx context.Context, t *try) policy.Status {
+func (b *Backend) ended(ctx context.Context, t *try) policy.Status {
 	whole := t.whole.Load()
 	switch cause := context.Cause(ctx); {
 	case !whole && (cause == nil || !errors.Is(cause, context.Canceled)):
@@ -216,8 +167,13 @@
 		return policy.TimedOut
 	case cause != nil:
 		return policy.Cancelled
+	case t.broke.Load():
+		return policy.Reset
 	}
-	return policy.Reset
+	// The node answers, if badly, and its other connections are as good as before: it is not held back as one
+	// that resets them.
+	b.metrics.Add("node_answers_spoilt", 1)
+	return policy.Error
 }
 
 // told takes in what an answer tells beside its body. What cannot be read is counted and left out.
@@ -251,7 +207,16 @@
 	}
 	out := make([]float64, len(b.opt.ReportFields))
 	for i, f := range b.opt.ReportFields {
-		out[i] = v.GetFloat64(f)
+		// A field that is missing or no number tells nothing; read as 0 it would tell of an idle node.
+		x, err := -1.0, error(nil)
+		if at := v.Get(f); at != nil {
+			x, err = at.Float64()
+		}
+		if err != nil || !(x >= 0 && x < 1e9) {
+			b.metrics.Add("node_bad_headers", 1)
+			return nil
+		}
+		out[i] = x
 	}
 	return out
 }
@@ -286,7 +251,10 @@
 		case resp.StatusCode != http.StatusOK:
 			status = policy.Error
 		default:
-			status, report = policy.OK, b.report(string(body))
+			status = policy.OK
+			if len(b.opt.ReportFields) > 0 {
+				report = b.report(string(body))
+			}
 		}
 	}()
 }
--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,267 @@
+package backend
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"gaugerelay/internal/core"
+)
+
+const (
+	maxHead = 16 << 10 // bytes of an answer's head, those of the 1xx before it included
+	// wholeMs after its first byte an answer must be whole. Nodes send theirs in one go; one that trickles or says
+	// to be longer than it is would else hold its request until the client's time is up.
+	wholeMs = 250
+)
+
+var (
+	errClosedNode = errors.New("the node drains or is gone")
+	errStale      = errors.New("the connection cannot be used any more")
+	errSpoilt     = errors.New("an answer that cannot be read")
+)
+
+// try follows one attempt through the transport.
+type try struct {
+	node *core.Node
+	head []byte // as far as it has been written, until its end is found
+	body int    // bytes of it still to be written once head is
+	ends bool   // the end of the head was found
+
+	whole atomic.Bool // the last byte has been handed to the connection
+	stale atomic.Bool // nothing was written, since the connection had been closed or spoilt before
+	broke atomic.Bool // the connection ended while the answer was awaited
+}
+
+// passing takes in what is about to be written, before it is: a node may answer or break off before the write
+// returns. httptrace's WroteRequest cannot tell this: a body that follows its headers is copied to the
+// connection directly, so the node may have it whole, and have run it, before that hook is called.
+func (t *try) passing(p []byte) {
+	if !t.ends {
+		t.head = append(t.head, p...)
+		i := bytes.Index(t.head, []byte("\r\n\r\n"))
+		if i < 0 {
+			return
+		}
+		t.ends, p = true, t.head[i+4:]
+	}
+	if t.body -= len(p); t.body <= 0 {
+		t.whole.Store(true)
+	}
+}
+
+// answer follows the framing of the answer to one request.
+type answer struct {
+	head   []byte // as far as it has come
+	before int    // bytes of 1xx heads before it
+	left   int    // bytes of the body still to come, once inBody
+	inBody bool
+	unkept bool // its end cannot be told from here, so nothing may follow it on the connection
+}
+
+// feed takes the next bytes and tells how many of them are the answer's, and whether they complete it.
+func (a *answer) feed(p []byte) (n int, whole bool, err error) {
+	for !a.inBody {
+		had := len(a.head)
+		a.head = append(a.head, p[n:]...)
+		if k := min(len(a.head), 7); !bytes.Equal(a.head[:k], []byte("HTTP/1.")[:k]) {
+			return 0, false, errSpoilt
+		}
+		end := bytes.Index(a.head, []byte("\r\n\r\n"))
+		if end < 0 {
+			end = bytes.Index(a.head, []byte("\n\n")) - 2 // as net/http reads it, too
+		}
+		if end < 0 {
+			if len(a.head)+a.before > maxHead {
+				return 0, false, errSpoilt
+			}
+			return len(p), false, nil
+		}
+		end += 4
+		n += end - had
+		err := a.parse(a.head[:end])
+		if err != nil {
+			return 0, false, err
+		}
+		a.head = nil
+	}
+	if a.unkept {
+		return len(p), false, nil
+	}
+	more := min(a.left, len(p)-n)
+	a.left -= more
+	return n + more, a.left == 0, nil
+}
+
+// parse reads a whole head. http.Transport reads it too and finds further faults; this is about its end alone.
+func (a *answer) parse(head []byte) error {
+	lines := strings.Split(string(head), "\n")
+	words := strings.Fields(lines[0])
+	if len(words) < 2 || len(words[1]) != 3 {
+		return errSpoilt
+	}
+	code, err := strconv.Atoi(words[1])
+	if err != nil || code == 101 { // an upgrade that nobody asked for
+		return errSpoilt
+	}
+	if code >= 100 && code < 200 { // the answer is still to come
+		if a.before += len(head); a.before > maxHead {
+			return errSpoilt
+		}
+		return nil
+	}
+	a.inBody, a.left = true, -1
+	for _, line := range lines[1:] {
+		name, value, _ := strings.Cut(line, ":")
+		switch value = strings.TrimSpace(value); {
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			a.unkept = true
+		case strings.EqualFold(name, "Content-Length"):
+			n, err := strconv.ParseUint(value, 10, 63)
+			if err != nil || a.left >= 0 && a.left != int(n) || n > MaxBody {
+				return errSpoilt // also one of 3 GB: it is not worth reading any of it
+			}
+			a.left = int(n)
+		}
+	}
+	if code == 204 || code == 304 {
+		a.left = 0
+	}
+	a.unkept = a.unkept || a.left < 0
+	return nil
+}
+
+// conn is a connection to a node. It carries one attempt at a time, and knows which. It hands on the answer to
+// that attempt and nothing else. http.Transport gives a connection back before it looks at what follows an
+// answer (readLoop's tryPutIdleConn comes before its next Peek), and would take a second copy, or noise, for the
+// answer to the next request.
+type conn struct {
+	net.Conn
+	back *Backend
+	try  atomic.Pointer[try] // nil with a probe
+	shut atomic.Bool
+
+	mu      sync.Mutex
+	used    bool    // it has carried a request
+	answer  *answer // being awaited; nil between requests
+	spoilt  bool    // nothing is sent or read on it any more
+	unwatch func()
+}
+
+// Write guards three rules. A drain counts from the first byte of a send, and the attempt may have waited for
+// this connection to come up; an attempt has never run if its last byte was not written; and no request goes out
+// where something has come that no request asked for.
+func (c *conn) Write(p []byte) (int, error) {
+	t := c.try.Load()
+	if t != nil && t.node.Closed() && !t.ends && len(t.head) == 0 {
+		return 0, errClosedNode
+	}
+	c.mu.Lock()
+	if c.answer == nil {
+		if c.spoilt || c.used && c.pending() {
+			c.spoilt = true
+			c.mu.Unlock()
+			if t != nil {
+				t.stale.Store(true)
+			}
+			return 0, errStale
+		}
+		c.used, c.answer = true, &answer{}
+	}
+	c.mu.Unlock()
+	if t == nil {
+		return c.Conn.Write(p)
+	}
+	t.passing(p)
+	n, err := c.Conn.Write(p)
+	if n < len(p) {
+		t.whole.Store(false)
+	}
+	return n, err
+}
+
+// pending tells whether something has come that has not been read: surplus of an answer, or the connection's end.
+func (c *conn) pending() (yes bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		yes = err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return yes || err != nil
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.try.Load()
+	if err != nil && t != nil && !c.spoilt {
+		t.broke.Store(true)
+	}
+	if n == 0 || c.spoilt {
+		if c.spoilt {
+			n, err = 0, errSpoilt
+		}
+		return n, err
+	}
+	if c.answer == nil {
+		c.back.metrics.Add("node_surplus", 1)
+		c.spoilt = true
+		return 0, errSpoilt
+	}
+	mine, whole, bad := c.answer.feed(p[:n])
+	switch {
+	case bad != nil:
+		c.spoilt = true
+		return 0, bad
+	case whole:
+		if c.answer = nil; c.unwatch != nil {
+			c.unwatch()
+			c.unwatch = nil
+		}
+		if mine < n {
+			c.back.metrics.Add("node_surplus", 1)
+			c.spoilt = true
+		}
+	case c.unwatch == nil:
+		waited := c.answer
+		c.unwatch = c.back.clock.AfterFunc(wholeMs, func() { c.giveUp(waited) })
+	}
+	return mine, err
+}
+
+// giveUp ends a connection whose answer has begun and does not end.
+func (c *conn) giveUp(a *answer) {
+	c.mu.Lock()
+	late := c.answer == a
+	c.spoilt = c.spoilt || late
+	c.mu.Unlock()
+	if late {
+		c.Close()
+	}
+}
+
+func (c *conn) Close() error {
+	if c.shut.CompareAndSwap(false, true) {
+		c.back.conns.Add(-1)
+	}
+	c.mu.Lock()
+	if c.unwatch != nil {
+		c.unwatch()
+		c.unwatch = nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
