Serve kept connections nearly to the kill while stopping; reject the id of an open request

The logs show each gateway ending 0.6 s after SIGTERM and starting again 3.6 s after it, whatever it did: for three seconds a quarter of the clients had nobody. Ruled out: the reloads themselves (watches moved at once, no refusals in step with them). At fault: drain (cmd/gaugerelay/main.go) closed connections after 0.25 s though clients go on using what stays open. They are now kept until 0.5 s before the earliest kill; what is taken meanwhile has a deadline before the end. http.Server's own closing of idle connections is not used: it has the fault that shedding had.

Core: a second request by the id of an open one is rejected (409); nodes that are gone leave no names and entries. HTTP front: duplicated headers, targets that cannot be passed on unchanged, deadlines beyond twice the class's, names that are not plain text, bodies of reads get a 4xx. File front: the first packet has 2.7 s from the connecting.

--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -15,7 +15,6 @@
 	"runtime/debug"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,8 +36,14 @@
 )
 
 const (
-	keepMs   = 250 // after SIGTERM connections are kept so long, then each answer closes its own
-	acceptMs = 600 // and new ones are accepted so long: clients learn of the stop with a delay
+	// After SIGTERM new connections are accepted so long: clients learn of the stop with a delay. Those they have
+	// they go on using; these are kept until lastMs before the platform may kill the program, which is no sooner
+	// than the longest deadline, at most killMs, and killMoreMs. endMs before that all is answered.
+	acceptMs   = 600
+	killMs     = 3000
+	killMoreMs = 700
+	lastMs     = 500
+	endMs      = 150
 
 	// A client has these times. The first two count from its connecting, or from the first byte of a further
 	// request; one that takes longer is not on a poor link but holds a connection that another could use.
@@ -102,9 +107,7 @@
 	lp.Nodes(cfg.Known)
 	counts.Add("discovery_bad_entries", int64(cfg.KnownBad))
 
-	var draining atomic.Bool
-	front := &httpfront.Front{Loop: lp, Carrier: back, Clock: sys, Metrics: counts, Settings: &cfg.Settings,
-		Draining: draining.Load}
+	front := &httpfront.Front{Loop: lp, Carrier: back, Clock: sys, Metrics: counts, Settings: &cfg.Settings}
 	clients := max(1, cfg.Sockets*3/8)
 	conns := &httpfront.Conns{Most: max(1, clients*7/8), Clock: sys, Metrics: counts}
 	longest := time.Duration(0)
@@ -141,7 +144,8 @@
 				continue
 			}
 			log.Printf("%s: stopping", cfg.Name)
-			draining.Store(true)
+			graceMs := min(clock.Ms(longest), killMs) + killMoreMs
+			front.Drain(sys.NowMs() + graceMs - endMs)
 			withdraw()
 			var both sync.WaitGroup
 			both.Go(func() {
@@ -149,7 +153,7 @@
 				endFiles()
 			})
 			both.Go(func() {
-				drain(server, func(ms float64) { time.Sleep(clock.Duration(ms)) })
+				drain(ln, front, conns, graceMs, func(ms float64) <-chan time.Time { return time.After(clock.Duration(ms)) })
 			})
 			both.Wait()
 			endBGP()
@@ -179,12 +183,17 @@
 	return next
 }
 
-// drain ends the HTTP server. For a while clients go on coming; all that was taken gets its answer.
-func drain(server *http.Server, pause func(ms float64)) {
-	pause(keepMs)
-	server.SetKeepAlivesEnabled(false)
-	pause(acceptMs - keepMs)
-	server.Shutdown(context.Background())
+// drain ends the HTTP front inside the time that the platform gives. A client that is told nothing goes on using
+// the connections it has; closed too soon, they would leave it without a gateway until the next start.
+func drain(ln net.Listener, front *httpfront.Front, conns *httpfront.Conns, graceMs float64, after func(ms float64) <-chan time.Time) {
+	<-after(acceptMs)
+	ln.Close()
+	<-after(graceMs - acceptMs - lastMs)
+	front.Close()
+	select {
+	case <-conns.Drain():
+	case <-after(lastMs - endMs/2):
+	}
 }
 
 // serveFiles starts the front for file commands; end stops it once all that was taken is answered.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 
 // Request is what a front has taken from a client.
 type Request struct {
+	ClientID    string // by which clients and nodes know it; "": by none. Only one of a name is open at a time
 	Class, Plan string
 	Volume, Key uint64
 	LeftMs      float64 // how long the answer may take
@@ -35,9 +36,10 @@
 
 // The kinds of final answer.
 const (
-	Served  Verdict = iota
-	Refused         // trying again is harmless
-	Failed          // no promise on the effect
+	Served   Verdict = iota
+	Refused          // trying again is harmless
+	Failed           // no promise on the effect
+	Rejected         // not taken: its ClientID is that of an open request
 )
 
 // Answer is the final answer to a request.
@@ -129,15 +131,17 @@
 	out    Outside
 	events []policy.Event
 	open   map[policy.RequestID]*entry
+	byName map[string]*entry // of open, those that have a ClientID
 	nodes  map[policy.NodeID]*Node
 	ids    map[string]policy.NodeID
 	lastID policy.RequestID
+	lastNo policy.NodeID
 	listed bool
 }
 
 // New returns a core round a module.
 func New(p Policy, out Outside) *Core {
-	return &Core{policy: p, out: out, open: map[policy.RequestID]*entry{},
+	return &Core{policy: p, out: out, open: map[policy.RequestID]*entry{}, byName: map[string]*entry{},
 		nodes: map[policy.NodeID]*Node{}, ids: map[string]policy.NodeID{}}
 }
 
@@ -151,6 +155,9 @@
 	return n
 }
 
+// Known is the number of nodes that are not gone.
+func (c *Core) Known() int { return len(c.ids) }
+
 // Ready tells whether a node list is held. An empty one from before the start does not count.
 func (c *Core) Ready() bool { return c.listed }
 
@@ -159,10 +166,20 @@
 	if r.gone {
 		return
 	}
+	if r.ClientID != "" && c.byName[r.ClientID] != nil {
+		// Nodes tell requests by this name. The other one's client must get the answer to its own.
+		c.out.Count("requests_duplicate")
+		r.Reply(Answer{Verdict: Rejected})
+		return
+	}
 	for c.lastID++; c.open[c.lastID] != nil; c.lastID++ { // after 2^32 requests ids come round
 	}
 	r.id = c.lastID
-	c.open[r.id] = &entry{req: r, expiryMs: nowMs + r.LeftMs}
+	e := &entry{req: r, expiryMs: nowMs + r.LeftMs}
+	c.open[r.id] = e
+	if r.ClientID != "" {
+		c.byName[r.ClientID] = e
+	}
 	c.out.Count("requests_taken")
 	c.events = append(c.events, policy.Arrival{ID: r.id, Class: r.Class, Plan: r.Plan,
 		Volume: policy.VolumeID(r.Volume), Key: r.Key, TTL: clock.Duration(r.LeftMs), Units: r.Units,
@@ -216,7 +233,11 @@
 	for _, n := range l.Nodes {
 		id := c.ids[n.Name]
 		if id == 0 {
-			id = policy.NodeID(len(c.ids) + 1)
+			if n.State == policy.Gone {
+				continue // nothing is known of it, and nothing will be
+			}
+			c.lastNo++
+			id = c.lastNo
 			c.ids[n.Name] = id
 		}
 		n.known = id
@@ -233,11 +254,15 @@
 		c.nodes[id] = n
 		ev.Nodes = append(ev.Nodes, policy.Node{ID: id, State: n.State, Shard: n.Shard, Kind: n.Kind, Zone: n.Zone,
 			StartedAt: clock.Duration(n.StartedMs), Size: n.Weight})
+		if n.State == policy.Gone {
+			c.forget(n)
+		}
 	}
 	if l.Scope == policy.Whole || l.Scope == policy.Stale {
 		for id, n := range c.nodes {
 			if !listed[id] {
 				n.closed.Store(true)
+				c.forget(n)
 			}
 		}
 	}
@@ -247,6 +272,13 @@
 	c.events = append(c.events, ev)
 }
 
+// forget drops a node that is gone: every one that replaces another has a name of its own, and on a long day there
+// are many. Attempts keep theirs as long as they need it.
+func (c *Core) forget(n *Node) {
+	delete(c.nodes, n.known)
+	delete(c.ids, n.Name)
+}
+
 // Wake tells that a time asked for with Outside.WakeAt has come.
 func (c *Core) Wake() { c.events = append(c.events, policy.Wake{}) }
 
@@ -322,5 +354,6 @@
 func (c *Core) settle(e *entry) {
 	if e.answered && e.out == 0 {
 		delete(c.open, e.req.id)
+		delete(c.byName, e.req.ClientID)
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,3 +215,61 @@
 		t.Error("not ready with a known node")
 	}
 }
+
+// A second request by the name of an open one is rejected, and the first one's answer is its own. Once that and
+// all its attempts are over the name is free.
+func TestNameOfAnOpenRequest(t *testing.T) {
+	mod, car := &script{}, &carrier{}
+	c := core.New(mod, &quiet{})
+	c.Nodes(nodes(policy.Live))
+	c.Step(0)
+	var got []core.Verdict
+	take := func() *core.Request {
+		r := &core.Request{ClientID: "a", LeftMs: 100, Carrier: car, Reply: func(a core.Answer) { got = append(got, a.Verdict) }}
+		mod.seen = nil
+		c.Take(1, r)
+		c.Step(1)
+		return r
+	}
+	first := take()
+	mod.actions = []policy.Action{policy.Send{ID: 1, Node: 1}}
+	c.Wake()
+	c.Step(1)
+	if take(); len(mod.seen) != 0 || len(got) != 1 || got[0] != core.Rejected {
+		t.Errorf("the module saw %v; answers %v", mod.seen, got)
+	}
+	c.Gone(first)
+	if take(); len(mod.seen) != 1 || len(got) != 2 { // its attempt is still out
+		t.Errorf("the module saw %v; answers %v", mod.seen, got)
+	}
+	c.Finish(2, first, 0, core.Result{Status: policy.OK})
+	if take(); len(got) != 2 || c.Open() != 1 {
+		t.Errorf("answers %v, %d open", got, c.Open())
+	}
+}
+
+// Nodes come and go with ever new names; what is held of them does not grow, and no id is used twice.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	mod := &script{}
+	c := core.New(mod, &quiet{})
+	ids := map[policy.NodeID]bool{}
+	for i := range 1000 {
+		name := fmt.Sprint("s-", i)
+		c.Nodes(core.List{Nodes: []*core.Node{{Name: name, Addr: "127.0.0.1:1"}}})
+		last := core.List{Nodes: []*core.Node{{Name: name, State: policy.Gone}, {Name: "unheard of", State: policy.Gone}}}
+		if i%2 == 1 { // or the next whole list lacks it
+			last = core.List{Scope: policy.Whole}
+		}
+		c.Nodes(last)
+		c.Step(float64(i))
+		for _, e := range mod.seen {
+			for _, n := range e.(policy.NodeList).Nodes {
+				ids[n.ID] = true
+			}
+		}
+		mod.seen = nil
+	}
+	if n := c.Known(); n != 0 || len(ids) != 1000 {
+		t.Errorf("%d nodes are still known; %d ids", n, len(ids))
+	}
+}
--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -28,9 +28,10 @@
 
 	mu    sync.Mutex
 	open  int
-	fresh list.List // of *client that have not said anything yet, the oldest first
-	idle  list.List // of *client between requests, the longest idle first
-	armed bool      // a sweep is to come
+	fresh list.List     // of *client that have not said anything yet, the oldest first
+	idle  list.List     // of *client between requests, the longest idle first
+	armed bool          // a sweep is to come
+	quiet chan struct{} // while draining: closed once none is open
 }
 
 // Listen returns a listener whose connections the server must be given for State to know them.
@@ -115,8 +116,33 @@
 	c.sweep()
 }
 
+// Drain closes the connections without a request, and from now on the others behind their answers. The channel
+// closes when none is left. http.Server's own ways to do so have the fault that client.Read guards against.
+func (c *Conns) Drain() (quiet <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quiet = make(chan struct{})
+	c.sweep()
+	return c.quiet
+}
+
 // sweep sheds what there is no room for. c.mu is held.
 func (c *Conns) sweep() {
+	if c.quiet != nil {
+		for _, l := range []*list.List{&c.fresh, &c.idle} {
+			for l.Len() > 0 {
+				c.drop(first(l))
+			}
+		}
+		select {
+		case <-c.quiet:
+		default:
+			if c.open == 0 {
+				close(c.quiet)
+			}
+		}
+		return
+	}
 	now := c.Clock.NowMs()
 	for c.open > c.Most {
 		silent, idle := first(&c.fresh), first(&c.idle)
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -7,8 +7,11 @@
 	"io"
 	"math"
 	"net/http"
+	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	policy "gaugerelay"
@@ -41,15 +44,27 @@
 	Clock    clock.Clock
 	Metrics  *metrics.Set
 	Settings *policy.Settings
-	Draining func() bool
+
+	endMs   atomic.Uint64 // bits of the float64: while stopping, when the last answer must be out; 0 before
+	closing atomic.Bool
 }
 
+// Drain makes the front tell that it is not ready and answer all that it takes from now on before endMs.
+func (f *Front) Drain(endMs float64) { f.endMs.Store(math.Float64bits(endMs)) }
+
+// Close makes each answer from now on the last of its connection.
+func (f *Front) Close() { f.closing.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.Clock.NowMs()
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	endMs := math.Float64frombits(f.endMs.Load())
 	switch r.URL.Path {
 	case "/ready":
-		if f.Draining() || !f.Loop.Ready() {
+		if endMs != 0 || !f.Loop.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -72,6 +87,9 @@
 	answers := make(chan core.Answer, 1) // one answer fits, so the loop never waits
 	req.Reply = func(a core.Answer) { answers <- a }
 	req.LeftMs -= marginMs + (f.Clock.NowMs() - arrived)
+	if endMs != 0 { // the program ends then, and what it leaves open is lost
+		req.LeftMs = min(req.LeftMs, endMs-f.Clock.NowMs())
+	}
 	if !f.Loop.Offer(req) {
 		// Nothing of it has run, so a refusal is true to any class.
 		f.Metrics.Add("requests_inbox_full", 1)
@@ -109,6 +127,9 @@
 		w.Write(body)
 	case core.Refused:
 		f.refuse(w, a.ComeBackMs)
+	case core.Rejected:
+		w.Header().Set("Connection", "close")
+		http.Error(w, "a request with this X-Correlation-Id is open", http.StatusConflict)
 	default:
 		http.Error(w, "failed", http.StatusBadGateway)
 	}
@@ -135,6 +156,16 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPut {
 		return nil, http.StatusMethodNotAllowed, errors.New("GET or PUT")
 	}
+	passed := url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	if r.RequestURI != passed.RequestURI() || strings.Contains(r.URL.Path, "//") {
+		return bad("a target that could not be passed on unchanged")
+	}
+	for _, name := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Plan", "X-Time-Left-Ms", "X-IO",
+		"X-Repeat", "Idempotency-Key", "Content-Type"} {
+		if len(r.Header[textproto.CanonicalMIMEHeaderKey(name)]) > 1 {
+			return bad("%s is there more than once", name) // the node might heed another than we
+		}
+	}
 	class := f.class(r.Header.Get("X-Service-Class"))
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	if class == nil || len(parts) < 2 || parts[0] != class.Name {
@@ -145,18 +176,31 @@
 		return bad("the path's last part is not 16 hex digits")
 	}
 	id := r.Header.Get("X-Correlation-Id")
-	if id == "" || len(id) > 128 {
-		return bad("X-Correlation-Id is missing or too long")
+	if !visible(id) {
+		return bad("X-Correlation-Id is missing, too long or not plain text")
 	}
 	left, err := strconv.ParseUint(r.Header.Get("X-Time-Left-Ms"), 10, 31)
 	if err != nil {
 		return bad("X-Time-Left-Ms is not a whole number")
 	}
+	// A client may wait longer than its class does, but the books of a request are kept as long as that.
+	if most := 2 * clock.Ms(class.Deadline); float64(left) > most {
+		return bad("X-Time-Left-Ms is over %.0f", most)
+	}
 	idem := r.Header.Get("Idempotency-Key")
 	if class.Effect == policy.ByKey && idem == "" {
 		return bad("class %s needs an Idempotency-Key", class.Name)
 	}
-	req := &core.Request{Class: class.Name, Plan: r.Header.Get("X-Plan"), Key: key, LeftMs: float64(left),
+	if idem != "" && !visible(idem) {
+		return bad("Idempotency-Key is too long or not plain text")
+	}
+	if r.Method == http.MethodGet && r.ContentLength > 0 {
+		return bad("a read has no body")
+	}
+	if r.ContentLength > backend.MaxBody { // none of it is read
+		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is over 64 KiB")
+	}
+	req := &core.Request{ClientID: id, Class: class.Name, Plan: r.Header.Get("X-Plan"), Key: key, LeftMs: float64(left),
 		Repeat: r.Header.Get("X-Repeat") == "1", Carrier: f.Carrier}
 	if !f.plan(req.Plan) {
 		return bad("unknown plan")
@@ -183,6 +227,11 @@
 	return req, 0, nil
 }
 
+// visible tells whether a text can be a name: visible ASCII, and not too much of it.
+func visible(s string) bool {
+	return s != "" && len(s) <= 128 && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
 // extras reads X-IO. Unknown names are skipped.
 func extras(req *core.Request, text string) error {
 	seen := 0
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -39,7 +39,7 @@
 func newFront(take func(*core.Request)) (*Front, *fakeLoop, *clock.Manual) {
 	set := standin.Settings(4)
 	l, now := &fakeLoop{take: take}, clock.NewManual(1e12)
-	return &Front{Loop: l, Clock: now, Metrics: metrics.New(), Settings: &set, Draining: func() bool { return false }}, l, now
+	return &Front{Loop: l, Clock: now, Metrics: metrics.New(), Settings: &set}, l, now
 }
 
 // request is a good one; change spoils it.
@@ -68,6 +68,7 @@
 		"refused":        {core.Answer{Verdict: core.Refused}, 503, "busy\n", ""},
 		"refused, later": {core.Answer{Verdict: core.Refused, ComeBackMs: 90}, 503, "busy\n", "0.090"},
 		"failed":         {core.Answer{Verdict: core.Failed}, 502, "failed\n", ""},
+		"an open id":     {core.Answer{Verdict: core.Rejected}, 409, "a request with this X-Correlation-Id is open\n", ""},
 	} {
 		f, l, _ := newFront(answering(c.answer))
 		w := httptest.NewRecorder()
@@ -102,6 +103,17 @@
 		"long id":        {header("X-Correlation-Id", strings.Repeat("x", 129)), 400},
 		"no time":        {header("X-Time-Left-Ms", ""), 400},
 		"negative time":  {header("X-Time-Left-Ms", "-5"), 400},
+		"a day's time":   {header("X-Time-Left-Ms", "86400000"), 400},
+		"two ids":        {func(r *http.Request) { r.Header.Add("X-Correlation-Id", "b") }, 400},
+		"two times":      {func(r *http.Request) { r.Header.Add("X-Time-Left-Ms", "480") }, 400},
+		"blank in id":    {header("X-Correlation-Id", "a b"), 400},
+		"id beyond text": {header("X-Correlation-Id", "a\x80"), 400},
+		"long key":       {header("Idempotency-Key", strings.Repeat("x", 129)), 400},
+		"fragment":       {func(r *http.Request) { r.RequestURI = "/push/7f3a9c21e0b4d655#x" }, 400},
+		"whole URL":      {func(r *http.Request) { r.RequestURI = "http://h/push/7f3a9c21e0b4d655?x=%2F" }, 400},
+		"two slashes": {func(r *http.Request) {
+			r.URL.Path, r.RequestURI = "/push//7f3a9c21e0b4d655", "/push//7f3a9c21e0b4d655?x=%2F"
+		}, 400},
 		"endless time":   {header("X-Time-Left-Ms", "99999999999"), 400},
 		"no upload key":  {header("Idempotency-Key", ""), 400},
 		"no extras":      {header("X-IO", ""), 400},
@@ -179,7 +191,8 @@
 	if l.unready = true; get("/ready").Code != 503 {
 		t.Error("ready without a list")
 	}
-	l.unready, f.Draining = false, func() bool { return true }
+	l.unready = false
+	f.Drain(1e12 + 100)
 	if get("/ready").Code != 503 {
 		t.Error("ready while stopping")
 	}
@@ -189,6 +202,48 @@
 	}
 }
 
+// While the gateway stops a request gets its answer before the program ends, and at last its connection closes.
+func TestDrain(t *testing.T) {
+	f, l, now := newFront(answering(core.Answer{Result: []byte("x")}))
+	f.Drain(now.NowMs() + 100)
+	for _, closes := range []string{"", "close"} {
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, request(nil))
+		if r := l.taken[len(l.taken)-1]; r.LeftMs != 100 || w.Code != 200 || w.Header().Get("Connection") != closes {
+			t.Errorf("%v left, %d, connection %q", r.LeftMs, w.Code, w.Header().Get("Connection"))
+		}
+		f.Close()
+	}
+}
+
+// At the end of a stop idle connections go at once, busy ones with their answers.
+func TestConnsDrain(t *testing.T) {
+	c := &Conns{Most: 9, Clock: clock.NewManual(0), Metrics: metrics.New()}
+	var k [3]*client
+	for i, s := range []http.ConnState{http.StateNew, http.StateIdle, http.StateActive} {
+		ours, _ := net.Pipe()
+		k[i] = &client{Conn: ours, conns: c}
+		c.State(k[i], http.StateNew)
+		if s != http.StateNew {
+			c.State(k[i], s)
+		}
+	}
+	quiet := c.Drain()
+	if !k[0].shed || !k[1].shed || k[2].shed {
+		t.Errorf("shed %v %v %v", k[0].shed, k[1].shed, k[2].shed)
+	}
+	select {
+	case <-quiet:
+		t.Error("quiet with a request open")
+	default:
+	}
+	c.State(k[2], http.StateIdle)
+	<-quiet
+	if !k[2].shed {
+		t.Error("kept after its answer")
+	}
+}
+
 // FuzzConns checks random steps against a model of each connection: silent, busy, idle or closed. Over the limit
 // the ones that have been silent or idle longest are shed; one from which a request has been read never is.
 func FuzzConns(f *testing.F) {
--- a/internal/sftpfront/conn.go
+++ b/internal/sftpfront/conn.go
@@ -57,8 +57,9 @@
 // never read; it sets the times that a client has; and it tells at once when the client has gone.
 type conn struct {
 	net.Conn
-	gone func()
-	in   frames // of the reading goroutine, and of others once that has ended
+	gone   func()
+	opened time.Time
+	in     frames // of the reading goroutine, and of others once that has ended
 
 	mu     sync.Mutex
 	change sync.Cond
@@ -69,7 +70,7 @@
 }
 
 func newConn(nc net.Conn, gone func()) *conn {
-	c := &conn{Conn: nc, gone: gone}
+	c := &conn{Conn: nc, gone: gone, opened: time.Now()}
 	c.change.L = &c.mu
 	return c
 }
@@ -79,9 +80,13 @@
 	if cut, _ := c.in.cut(); cut {
 		wait = packetTime
 	}
+	until := time.Now().Add(wait)
+	if c.in.n == 0 { // counted from its connecting, however it dribbles
+		until = c.opened.Add(firstTime)
+	}
 	c.mu.Lock()
 	if !c.ending {
-		c.SetReadDeadline(time.Now().Add(wait))
+		c.SetReadDeadline(until)
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
--- a/internal/sftpfront/front.go
+++ b/internal/sftpfront/front.go
@@ -43,10 +43,11 @@
 )
 
 const (
-	idleTime   = 5 * time.Minute  // between packets
-	packetTime = 10 * time.Second // for the rest of a packet, and for a client to take an answer
-	guardMs    = 25               // after the module should have answered the front gives up by itself
-	maxRepeats = 64               // failed writes remembered for each handle
+	firstTime  = 2700 * time.Millisecond // for the first packet: who says nothing is no client
+	idleTime   = 5 * time.Minute         // between packets
+	packetTime = 10 * time.Second        // for the rest of a packet, and for a client to take an answer
+	guardMs    = 25                      // after the module should have answered the front gives up by itself
+	maxRepeats = 64                      // failed writes remembered for each handle
 )
 
 // Root is a part of the tree of paths and what it draws on.
