--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -276,6 +277,7 @@
 				done = true
 			default:
 				now.Advance(1)
+				runtime.Gosched()
 			}
 		}
 		if res.Status != policy.Error || m.Get("node_answers_spoilt") != 1 {
@@ -330,6 +332,7 @@
 	a := core.Attempt{Request: request(true), Node: &core.Node{Addr: node.addr}, DeadlineMs: now.NowMs() + 1000}
 	seen := func(n int32) { // the node holds the request, since no act has been given
 		for node.seen.Load() < n {
+			runtime.Gosched()
 		}
 	}
 	b.Start(a)
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -165,6 +166,7 @@
 			return
 		default:
 			now.Advance(1)
+			runtime.Gosched()
 		}
 	}
 }
--- a/internal/sftpbackend/backend_test.go
+++ b/internal/sftpbackend/backend_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -150,6 +151,7 @@
 			if len(list) > 0 {
 				return list[0]
 			}
+			runtime.Gosched()
 		}
 	}
 	p.acts <- serve
@@ -163,6 +165,7 @@
 	p.acts <- serve
 	b.Start(a) // its READ is held: no act for it yet
 	for len(p.acts) > 0 {
+		runtime.Gosched()
 	}
 	b.Start(a)
 	if r := <-ends; r.Status != policy.Full {
--- a/internal/sftpfront/front_test.go
+++ b/internal/sftpfront/front_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -105,6 +106,8 @@
 		default:
 			if held(r.loop, r.counts) > 0 {
 				r.clock.Advance(5)
+			} else {
+				runtime.Gosched() // what is on its way may want this processor
 			}
 		}
 	}
