Leave a node alone that turns attempts away in a row, and place new objects elsewhere

Checked with a trace of attempts and list entries: nearly all came from one gateway whose watch ran 5 s late, each in 1 ms, from nodes already draining; the other gateways had been told. Requests spent their three attempts there within milliseconds, and roomiest (scheduler.go) sent new objects to that node first, as one that turns all away never has much out. Ruled out: sends after a gateway was told (none), full queues.

From the second turned away in a row on a node is held back, ever longer, until it answers; new objects go to nodes that take what they are sent, and one that has been turned away and cannot have run goes elsewhere.

--- a/module_test.go
+++ b/module_test.go
@@ -743,3 +743,46 @@
 		}
 	}
 }
+
+// TestANodeThatTurnsAllAwayIsLeftAlone: the list is late to tell of a drain. New objects go to other nodes, also
+// those that the node has just turned away, and requests for its own data do not spend their attempts at once.
+func TestANodeThatTurnsAllAwayIsLeftAlone(t *testing.T) {
+	g := newGate(t, nil)
+	away := func(actions []Action) (sends int) { // node 1 turns away, node 2 holds what it gets
+		for len(sendsOf(actions)) > 0 {
+			var next []Event
+			for _, a := range actions {
+				if a, ok := a.(Send); ok && a.Node == 1 {
+					sends++
+					next = append(next, Outcome{ID: a.ID, Attempt: len(g.s.reqs[a.ID].tries) - 1, Node: 1, Status: Full})
+				}
+			}
+			g.now += ms
+			actions = g.step(next...)
+		}
+		return sends
+	}
+	fresh := func() Arrival { a := g.ask("read", "gold", int(g.id), 2, 1); a.Shard = -1; return a }
+	first := fresh()
+	if n := away(g.step(first)); n != 1 {
+		t.Errorf("a new object was sent %d times to the node that turns away", n)
+	}
+	g.after(20 * ms)
+	if tries := g.s.reqs[first.ID].tries; len(tries) != 2 || tries[1].node.ID != 2 {
+		t.Errorf("it was not sent elsewhere: %d attempts", len(tries))
+	}
+	for range 5 {
+		if n := away(g.step(fresh())); n != 0 {
+			t.Errorf("a further new object went to the node that turns away")
+		}
+	}
+	own, sends := 0, 0
+	for range 40 {
+		a := g.ask("read", "gold", int(g.id), 2, 1)
+		own++
+		sends += away(append(g.step(a), g.after(5*ms)...))
+	}
+	if sends < 2 || sends > own/2 {
+		t.Errorf("%d attempts of %d requests in 200 ms", sends, own)
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -121,6 +121,7 @@
 	newest    time.Duration // when the youngest attempt that it answered was sent
 	holdUntil time.Duration // nothing is sent before
 	failures  int           // failed connects in a row
+	turned    int           // attempts in a row that it turned away
 	warming   bucket        // units that it may be sent while cold
 }
 
@@ -306,7 +307,7 @@
 		}
 		if n.window == 0 || e.StartedAt != n.StartedAt { // new or restarted
 			n.window, n.spare, n.latency = windowStart, s.share(windowSpare), s.threshold
-			n.failures, n.holdUntil = 0, 0 // they were the old process's
+			n.failures, n.turned, n.holdUntil = 0, 0, 0 // they were the old process's
 			n.warming = bucket{level: -2 * s.set.MeanUnits * s.rnd.Float64(), last: s.now}
 		}
 		n.Node = e
@@ -395,11 +396,20 @@
 	s.hold(r)
 }
 
-// roomiest is the shard whose node has the fewest out from here.
+// roomiest is the shard whose node has the fewest out from here, of those whose nodes take what they are sent.
+// One that turns all away at once never has much out: it would draw every new object.
 func (s *Scheduler) roomiest() (best *shard) {
-	for _, sh := range s.shards {
-		if len(sh.nodes) > 0 && (best == nil || sh.nodes[0].inUse < best.nodes[0].inUse) {
-			best = sh
+	for _, ready := range []bool{true, false} {
+		for _, sh := range s.shards {
+			if len(sh.nodes) == 0 || ready && (sh.nodes[0].turned > 0 || sh.nodes[0].failures > 0) {
+				continue
+			}
+			if best == nil || sh.nodes[0].inUse < best.nodes[0].inUse {
+				best = sh
+			}
+		}
+		if best != nil {
+			break
 		}
 	}
 	return best
@@ -652,6 +662,9 @@
 	}
 	// Another attempt, if the rules allow one and the aim can still be met.
 	r.notBefore = s.now + n.latency/4
+	if sh := s.roomiest(); r.Shard == -1 && !r.mayRun && sh != nil {
+		r.shard = sh // a new object that nobody has yet may go elsewhere
+	}
 	if o.Status != TimedOut && r.notBefore+s.threshold/2 <= r.due && s.mayRepeat(r) && s.extraLeft() {
 		s.hold(r)
 	} else {
@@ -744,10 +757,16 @@
 			n.sum += max(0, o.Latency)
 			n.answers++
 		}
-		n.failures = 0
+		n.failures, n.turned = 0, 0
 		n.answered, n.newest = s.now, max(n.newest, t.sentAt)
+	case Full:
+		// One queue that is full for a moment says little. A node that turns away one after the other drains, and
+		// the list is late to tell: attempts are not to be spent on it.
+		if n.turned = min(n.turned+1, 5); n.turned > 1 {
+			n.holdUntil = max(n.holdUntil, s.now+s.threshold<<(n.turned-2))
+		}
 	case Error:
-		n.answered, n.failures = s.now, 0 // no latency: fast errors must not open the window
+		n.answered, n.failures, n.turned = s.now, 0, 0 // no latency: fast errors must not open the window
 	case ConnectFailed, Reset:
 		if o.Status == Reset && s.now-n.answered < patienceLong*s.threshold {
 			return // a connection broke, not the node: it has just answered on others
