--- a/scheduler.go
+++ b/scheduler.go
@@ -246,8 +246,8 @@
 	return s.out
 }
 
-// forget drops the books of volumes that have long been idle. With the limit full again they say what new ones
-// would; kept, a client that names ever new volumes would fill the memory.
+// forget drops the books of volumes that have long been idle. With the limit full again they say what new
+// ones would; kept, a client that names ever new volumes would fill the memory.
 func (s *Scheduler) forget() {
 	if s.now-s.forgotAt < idleVolume/4 {
 		return
@@ -396,8 +396,8 @@
 	s.hold(r)
 }
 
-// roomiest is the shard whose node has the fewest out from here, of those whose nodes take what they are sent.
-// One that turns all away at once never has much out: it would draw every new object.
+// roomiest is the shard whose node has the fewest out from here, of those whose nodes take what they are
+// sent. One that turns all away at once never has much out: it would draw every new object.
 func (s *Scheduler) roomiest() (best *shard) {
 	for _, ready := range []bool{true, false} {
 		for _, sh := range s.shards {
