--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -222,6 +222,9 @@
 		runtime.GOMAXPROCS(max(1, int(math.Floor(cfg.Cores))))
 	}
 	if cfg.MemoryMB > 0 {
+		// What is live is a few MB and most of the limit is unused: collecting less often saves processor time,
+		// which is short before memory is. Near the limit the collector runs as often as it must.
+		debug.SetGCPercent(300)
 		debug.SetMemoryLimit(int64(cfg.MemoryMB * 0.75 * (1 << 20)))
 	}
 }
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -140,6 +140,39 @@
 	}
 }
 
+// What cannot be framed gets one error on the wire, then the connection's end: nothing behind it is served, and
+// nothing of it reaches the module.
+func TestBadFramingEndsTheConnection(t *testing.T) {
+	const head = "PUT /push/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 1\r\nX-Service-Class: push\r\nX-Plan: basic\r\n" +
+		"X-Time-Left-Ms: 480\r\nIdempotency-Key: k\r\nX-IO: volume=1,units=2,shard=3,hosts=2\r\n"
+	hidden := strings.Replace(head, "Id: 1", "Id: 2", 1) + "Content-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct{ text, status string }{
+		"length and encoding": {head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, "411"},
+		"encoding and length": {head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + hidden, "411"},
+		"unknown encoding":    {head + "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n\r\n" + hidden, "501"},
+		"two lengths":         {head + "Content-Length: 0\r\nContent-Length: 4\r\n\r\n" + hidden, "400"},
+		"negative length":     {head + "Content-Length: -1\r\n\r\n" + hidden, "400"},
+		"huge length":         {head + "Content-Length: 62914560\r\n\r\n" + hidden, "413"},
+		"beyond any length":   {head + "Content-Length: 99999999999999999999\r\n\r\n" + hidden, "400"},
+		"bad class, a body":   {strings.Replace(head, "Class: push", "Class: none", 1) + "Content-Length: 4\r\n\r\n" + hidden, "400"},
+		"no request at all":   {"\x00\x01\x02\r\n\r\n" + hidden, "400"},
+	} {
+		f, l, _ := newFront(answering(core.Answer{}))
+		srv := httptest.NewServer(f)
+		nc, err := net.Dial("tcp", srv.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(nc, c.text)
+		got, _ := io.ReadAll(nc) // a reset may follow the error, as part of what was sent is never read
+		if n := strings.Count(string(got), "HTTP/1.1 "); n != 1 || !strings.HasPrefix(string(got), "HTTP/1.1 "+c.status) || len(l.taken) != 0 {
+			t.Errorf("%s: %d answers, %d taken: %.40q", name, n, len(l.taken), got)
+		}
+		nc.Close()
+		srv.Close()
+	}
+}
+
 // A full inbox still answers, and says when to come back.
 func TestFullInbox(t *testing.T) {
 	f, l, _ := newFront(nil)
