Spread new objects over the nodes: of two shards drawn by chance, the less busy one

Of 2,092 new objects in the first 10 s node 50, which holds shard 0, got 436, and 17 to 21 of the 60 nodes got all of them. Reads follow the objects. Ruled out: connects (none failed then), cold nodes and discovery (nothing had happened yet), limits (pulls of the same volumes went through).

At fault: roomiest() compared by < over the shards in order, so the first of those with nothing out won. A gateway with four requests out at a time nearly always has such a one, and it is the same for all gateways.

Now two shards are drawn by chance and the one with the shorter (out+1) * delay is taken; nodes that turn away, fail connects, are held back, owe answers or are cold are passed over while there is another. The test draws 200 gateways, and fails without the change; an older test relied on the order of the shards.

--- a/module_test.go
+++ b/module_test.go
@@ -803,6 +803,9 @@
 		return sends
 	}
 	fresh := func() Arrival { a := g.ask("read", "gold", int(g.id), 2, 1); a.Shard = -1; return a }
+	busy := g.ask("read", "gold", int(g.id), 2, 1)
+	busy.Shard = 1
+	g.step(busy) // so node 1 has less to do
 	first := fresh()
 	if n := away(g.step(first)); n != 1 {
 		t.Errorf("a new object was sent %d times to the node that turns away", n)
@@ -826,3 +829,43 @@
 		t.Errorf("%d attempts of %d requests in 200 ms", sends, own)
 	}
 }
+
+// TestAFleetSpreadsNewObjects: many gateways that each have next to nothing out must not all take the same node
+// for the roomiest; nor does a node that is known to be slow, cold or silent get new objects while others do not.
+func TestAFleetSpreadsNewObjects(t *testing.T) {
+	const gates, shards, bad = 200, 20, 3
+	got := make([]int, shards)
+	for seed := range uint64(gates) {
+		set := testSettings()
+		set.Siblings, set.Shards = gates, shards
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := NodeList{Scope: Stale}
+		for i := range shards {
+			n := Node{ID: NodeID(i + 1), Shard: i}
+			if i == 0 {
+				n.StartedAt = time.Hour
+			}
+			l.Nodes = append(l.Nodes, n)
+		}
+		s.Step(time.Hour, []Event{l})
+		now := time.Hour + 5*time.Second
+		a := Arrival{ID: 1, Class: "read", Plan: "gold", TTL: time.Second, Units: 1, Shard: 1, Hosts: 1}
+		s.Step(now, []Event{a}) // node 2 owes an answer for long
+		now += 900 * ms
+		s.nodes[3].failures = 1
+		a.ID, a.Shard = 2, -1
+		for _, a := range s.Step(now, []Event{a}) {
+			if a, ok := a.(Send); ok {
+				got[a.Node-1]++
+			}
+		}
+	}
+	for i, n := range got {
+		if fair := gates / (shards - bad); i < bad && n > 0 || i >= bad && (n < fair/4 || n > 3*fair) {
+			t.Errorf("node %d got %d of %d new objects: %v", i+1, n, gates, got)
+		}
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -400,20 +400,27 @@
 	s.hold(r)
 }
 
-// roomiest is the shard whose node has the fewest out from here, of those whose nodes take what they are
-// sent. One that turns all away at once never has much out: it would draw every new object.
+// roomiest is where a new object goes: of two shards drawn by chance the one whose node has less to do, as seen
+// from here. The best of all would be the same for every gateway that has little out: with many of them it
+// draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are held back, turn
+// all away, owe answers or are cold; the best of such is taken only where there is no other.
 func (s *Scheduler) roomiest() (best *shard) {
-	for _, ready := range []bool{true, false} {
-		for _, sh := range s.shards {
-			if len(sh.nodes) == 0 || ready && (sh.nodes[0].turned > 0 || sh.nodes[0].failures > 0) {
-				continue
-			}
-			if best == nil || sh.nodes[0].inUse < best.nodes[0].inUse {
-				best = sh
-			}
+	load, open, seen := math.Inf(1), false, 0
+	for _, i := range s.rnd.Perm(len(s.shards)) {
+		sh := s.shards[i]
+		if len(sh.nodes) == 0 {
+			continue
 		}
-		if best != nil {
-			break
+		n := sh.nodes[0]
+		silent, _ := s.silent(n)
+		ready := n.turned == 0 && n.failures == 0 && s.now >= n.holdUntil && !silent && !s.cold(n)
+		if l := float64(n.inUse+1) * float64(s.delay(n)); best == nil || ready && !open || ready == open && l < load {
+			best, load, open = sh, l, ready
+		}
+		if ready {
+			if seen++; seen == 2 {
+				break
+			}
 		}
 	}
 	return best
