Ask discovery with full jitter over the time that all gateways' calls take

Ruled out: a discovery that is down (the same calls, spread, are all answered), the watch's own limit of 3 s.

At fault: ask() called in the first step, and list() drew the pause from askWait, which was 0 after any good line, so a watch that ended soon after its start was asked for again at once; the pause began at AskWithin/32 whatever the number of gateways, and was drawn from its upper two thirds.

Now the first call, too, is drawn from Siblings times 60 ms, and each pause from all of its range (full jitter), which doubles up to AskWithin and begins anew only after a watch that held for longer than that. The known list serves meanwhile. What is no decision (the structs of requests, volumes and nodes) has moved to books.go.

--- a/books.go
+++ b/books.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// This file holds plain data structures; it decides nothing.
+// This file holds plain data structures: what the module knows of requests, volumes and nodes. It decides nothing.
 
 // bucket is a token bucket.
 type bucket struct {
@@ -41,3 +41,94 @@
 	*h = old[:len(old)-1]
 	return x
 }
+
+// try is one attempt of a request.
+type try struct {
+	req    *request
+	node   *node
+	sentAt time.Duration
+	closed bool
+	lost   bool // given up as unanswered; it no longer counts in the window
+}
+
+// request is one that the gateway has taken; it is kept until over and without an attempt out.
+type request struct {
+	Arrival
+	class     *Class
+	vol       *volume
+	shard     *shard
+	due       time.Duration // its aim, on the clock
+	expiry    time.Duration // the client gives up
+	notBefore time.Duration // pause before a further attempt
+	tries     []*try
+	out       int           // attempts without an outcome
+	mayRun    bool          // an attempt may have run
+	mayRunAt  time.Duration // when the first such attempt was sent
+	ranZone   string        // the zone of its node
+	over      bool
+	held      bool // in its flow's queue
+}
+
+// volume is what this gateway knows of a volume over all nodes.
+type volume struct {
+	plan    *Plan
+	hosts   float64
+	reserve bucket
+	usual   bucket // what it asks on a usual day
+	limit   bucket
+	own     float64 // units served here, halved every halfLife
+	foreign float64 // and elsewhere, as far as told
+	toldAt  time.Duration
+	askedAt time.Duration // when its last request came
+}
+
+// flow is a volume's held requests at one shard.
+type flow struct {
+	id   VolumeID
+	vol  *volume
+	tag  float64    // start tag of its next request
+	held []*request // by due time
+	out  int
+	busy float64 // smoothed requests out
+}
+
+// shard is a piece of the pool, served by one node, or by two while one replaces the other.
+type shard struct {
+	nodes  []*node // those that may be sent to, the longest running first; two while one replaces the other
+	flows  []*flow
+	byVol  map[VolumeID]*flow
+	busy   bool
+	moved  time.Duration // when its windows last moved
+	vtime  float64
+	served float64 // units answered in time in this period by a warm node
+	rate   float64 // smoothed, in units a second
+	seen   float64 // weight of what rate was made of, up to 1
+}
+
+// node is a process that serves a shard.
+type node struct {
+	Node
+	window    float64
+	spare     float64       // the same for what volumes ask beyond their usual rate
+	latency   time.Duration // L
+	out       []*try        // in order of sending, closed ones dropped from the front
+	inUse     int
+	sum       time.Duration // of this period's latencies
+	answers   float64
+	sampledAt time.Duration // when L last took in a sample
+	lastSend  time.Duration
+	answered  time.Duration // when it last answered
+	closedAt  time.Duration // when its last attempt ended
+	took      time.Duration // and how long that took
+	newest    time.Duration // when the youngest attempt that it answered was sent
+	holdUntil time.Duration // nothing is sent before
+	failures  int           // failed connects in a row
+	turned    int           // attempts in a row that it turned away
+	warming   bucket        // units that it may be sent while cold
+}
+
+// turn is the requests of one key, in the order taken.
+type turn struct {
+	queue []*request
+	rest  time.Duration // nothing is sent before
+}
--- a/module_test.go
+++ b/module_test.go
@@ -869,3 +869,51 @@
 		}
 	}
 }
+
+// TestAFleetIsToldByASlowDiscovery: all gateways start at once, and discovery takes 100 ms for a call, in turn. It
+// gives up on calls that waited 2 s, but has their work all the same. Calls that come together, fail together and
+// come again together would keep it busy for good with calls that fail.
+func TestAFleetIsToldByASlowDiscovery(t *testing.T) {
+	const gates, cost, most = 80, 100 * ms, 2 * time.Second
+	type call struct {
+		gate       int
+		from, upTo time.Duration
+		end        bool
+	}
+	now, free, calls, told := time.Hour, time.Hour, []*call{}, 0
+	ss, queue := make([]*Scheduler, gates), make([][]Event, gates)
+	for i := range ss {
+		set := testSettings()
+		set.Siblings, set.AskList = gates, true
+		s, err := New(set, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ss[i], queue[i] = s, []Event{NodeList{Scope: Stale, Nodes: []Node{{ID: 1}, {ID: 2, Shard: 1}}}}
+	}
+	for ; now < time.Hour+30*time.Second; now += 5 * ms {
+		for _, c := range calls {
+			switch {
+			case c.end:
+			case now >= c.upTo && c.upTo <= c.from+most:
+				c.end, told = true, told+1
+				queue[c.gate] = append(queue[c.gate], NodeList{Scope: Whole, Nodes: []Node{{ID: 1}, {ID: 2, Shard: 1}}})
+			case now >= c.from+most:
+				c.end = true
+				queue[c.gate] = append(queue[c.gate], NodeList{Scope: Broken})
+			}
+		}
+		for i, s := range ss {
+			for _, a := range s.Step(now, append(queue[i], Wake{})) {
+				if _, ok := a.(Subscribe); ok {
+					free = max(free, now) + cost
+					calls = append(calls, &call{gate: i, from: now, upTo: free})
+				}
+			}
+			queue[i] = nil
+		}
+	}
+	if told != gates || len(calls) > 2*gates {
+		t.Errorf("%d of %d gateways were told in 30 s, by %d calls", told, gates, len(calls))
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -25,106 +25,22 @@
 	windowSpare   = 24.0        // the same for what volumes ask beyond their usual rate, over all gateways
 	windowMin     = 4.0         // the least window, over all gateways
 	windowMax     = 20.0
-	slowPart      = 2.5         // the window falls under one request from this many times T on
-	sparePart     = 1.5         // and the spare window
-	growth        = 4.0         // doublings in halfLife of a window under one while nothing is out
-	patience      = 0.6         // an answer is expected within this many times L
-	patienceLong  = 4           // an answer owed for this many times T and L is missing
-	coldPart      = 0.7         // of FallMultiple: what a cold node is sent at most
-	idleVolume    = time.Minute // the books of a volume that asks for nothing are kept so long
-	mostShards    = 1 << 12     // a list that names a shard beyond is in error
+	slowPart      = 2.5                   // the window falls under one request from this many times T on
+	sparePart     = 1.5                   // and the spare window
+	growth        = 4.0                   // doublings in halfLife of a window under one while nothing is out
+	patience      = 0.6                   // an answer is expected within this many times L
+	patienceLong  = 4                     // an answer owed for this many times T and L is missing
+	coldPart      = 0.7                   // of FallMultiple: what a cold node is sent at most
+	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
+	listCall      = 60 * time.Millisecond // a call of discovery may take it so long, and all gateways call
+	mostShards    = 1 << 12               // a list that names a shard beyond is in error
 )
 
-// try is one attempt of a request.
-type try struct {
-	req    *request
-	node   *node
-	sentAt time.Duration
-	closed bool
-	lost   bool // given up as unanswered; it no longer counts in the window
-}
-
-// request is one that the gateway has taken; it is kept until over and without an attempt out.
-type request struct {
-	Arrival
-	class     *Class
-	vol       *volume
-	shard     *shard
-	due       time.Duration // its aim, on the clock
-	expiry    time.Duration // the client gives up
-	notBefore time.Duration // pause before a further attempt
-	tries     []*try
-	out       int           // attempts without an outcome
-	mayRun    bool          // an attempt may have run
-	mayRunAt  time.Duration // when the first such attempt was sent
-	ranZone   string        // the zone of its node
-	over      bool
-	held      bool // in its flow's queue
-}
-
-// volume is what this gateway knows of a volume over all nodes.
-type volume struct {
-	plan    *Plan
-	hosts   float64
-	reserve bucket
-	usual   bucket // what it asks on a usual day
-	limit   bucket
-	own     float64 // units served here, halved every halfLife
-	foreign float64 // and elsewhere, as far as told
-	toldAt  time.Duration
-	askedAt time.Duration // when its last request came
-}
-
 // reserved tells whether units are inside this gateway's part of the reserve now.
 func (v *volume) reserved(now time.Duration, units float64) bool {
 	return v.plan.Reserve > 0 && v.reserve.at(now) >= units
 }
 
-// flow is a volume's held requests at one shard.
-type flow struct {
-	id   VolumeID
-	vol  *volume
-	tag  float64    // start tag of its next request
-	held []*request // by due time
-	out  int
-	busy float64 // smoothed requests out
-}
-
-// shard is a piece of the pool, served by one node, or by two while one replaces the other.
-type shard struct {
-	nodes  []*node // those that may be sent to, the longest running first; two while one replaces the other
-	flows  []*flow
-	byVol  map[VolumeID]*flow
-	busy   bool
-	moved  time.Duration // when its windows last moved
-	vtime  float64
-	served float64 // units answered in time in this period by a warm node
-	rate   float64 // smoothed, in units a second
-	seen   float64 // weight of what rate was made of, up to 1
-}
-
-// node is a process that serves a shard.
-type node struct {
-	Node
-	window    float64
-	spare     float64       // the same for what volumes ask beyond their usual rate
-	latency   time.Duration // L
-	out       []*try        // in order of sending, closed ones dropped from the front
-	inUse     int
-	sum       time.Duration // of this period's latencies
-	answers   float64
-	sampledAt time.Duration // when L last took in a sample
-	lastSend  time.Duration
-	answered  time.Duration // when it last answered
-	closedAt  time.Duration // when its last attempt ended
-	took      time.Duration // and how long that took
-	newest    time.Duration // when the youngest attempt that it answered was sent
-	holdUntil time.Duration // nothing is sent before
-	failures  int           // failed connects in a row
-	turned    int           // attempts in a row that it turned away
-	warming   bucket        // units that it may be sent while cold
-}
-
 // Scheduler makes the decisions of one gateway. It is not safe for concurrent use.
 type Scheduler struct {
 	set        Settings
@@ -154,7 +70,8 @@
 	slept      time.Duration // when this gateway last woke too late
 	forgotAt   time.Duration // when volumes were last looked through
 	askAgain   time.Duration // when to subscribe (again)
-	askWait    time.Duration
+	askWait    time.Duration // the latest pause before that was drawn from this
+	askedAt    time.Duration
 }
 
 // New returns a scheduler for one gateway, or an error if the settings cannot be used.
@@ -204,6 +121,7 @@
 	}
 	if !s.opened {
 		s.opened, s.openedAt, s.period = true, s.now, s.now
+		s.askLater(0)
 	}
 	for _, e := range events {
 		switch e := e.(type) {
@@ -286,13 +204,16 @@
 // list applies news of the nodes. A node that drains or is gone gets nothing more from now on.
 func (s *Scheduler) list(l *NodeList) {
 	if l.Scope == Broken {
-		// The list is out of reach: the old one holds. Ask again, ever less often up to half of AskWithin.
-		s.askAgain = s.now + time.Duration((0.5+s.rnd.Float64())*float64(s.askWait))
-		s.askWait = min(2*s.askWait, max(s.set.AskWithin/4, time.Second))
+		// The list is out of reach: the old one holds. Ask again, ever less often up to AskWithin, unless the
+		// watch had held for long.
+		if s.now-s.askedAt > s.set.AskWithin {
+			s.askWait = 0
+		}
+		s.askLater(min(2*s.askWait, s.set.AskWithin))
 		return
 	}
 	if l.Scope != Stale {
-		s.askWait, s.askAgain = 0, s.now+time.Hour
+		s.askAgain = s.now + time.Hour
 	}
 	named := map[NodeID]bool{}
 	for _, e := range l.Nodes {
@@ -341,14 +262,18 @@
 
 // ask keeps a subscription to the list where it must be asked for.
 func (s *Scheduler) ask() {
-	if !s.set.AskList || s.now < s.askAgain {
-		return
+	if s.set.AskList && s.now >= s.askAgain {
+		s.do(Subscribe{})
+		s.askedAt, s.askAgain = s.now, s.now+max(s.set.AskWithin/2, time.Second) // unless answered
 	}
-	if s.askWait == 0 {
-		s.askWait = max(s.set.AskWithin/32, s.set.Tick)
-	}
-	s.do(Subscribe{})
-	s.askAgain = s.now + max(s.set.AskWithin/2, time.Second) // unless answered
+}
+
+// askLater draws the time of the next call from all of wait, which is at least as long as discovery takes to
+// answer every gateway in turn. It guards against a fleet whose calls fail together, come again together and fail
+// again: those that discovery gave up on have cost it as much as others.
+func (s *Scheduler) askLater(wait time.Duration) {
+	s.askWait = max(wait, s.set.AskWithin/32, time.Duration(s.set.Siblings)*listCall, s.set.Tick)
+	s.askAgain = s.now + time.Duration(s.rnd.Float64()*float64(s.askWait))
 }
 
 // ---- arrival ----
@@ -955,12 +880,6 @@
 	return &n.warming
 }
 
-// turn is the requests of one key, in the order taken.
-type turn struct {
-	queue []*request
-	rest  time.Duration // nothing is sent before
-}
-
 func (s *Scheduler) inTurn(r *request) bool { return r.class.InTurn && r.Key != NoKey }
 
 func (s *Scheduler) queueTurn(r *request) {
