Give cold nodes what is usually asked for them, and more while they answer quickly

Such nodes were sent 0 to 5 units a second, by all 80 gateways together, where 20 were asked for and a node bears some 30 when it starts. Those that answered took 50 to 90 ms at the median, as warm ones do. Ruled out: the window (latencies), discovery (all lists had come), connects.

At fault: coldRoom() went by what the gateway had itself been served at the shard. A gateway that has just started, or whose node is new, has been served nothing, and is left with 1/80 of 0.3 of ColdBears, a request in 25 s; and for FallWindow after its own start with nothing. The bucket never held more than zero, so of a demand that comes by chance about half met an empty one.

Now a gateway counts what is asked of it for the shard inside the volumes' usual rates, repeats left out, and sends coldPart * FallMultiple * the present part of that; by as much less as answers take longer than T. An answer within T pays back what it took, and no more than coldOut requests are out there at once over all gateways.

--- a/books.go
+++ b/books.go
@@ -1,6 +1,9 @@
 package gaugerelay
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // This file holds plain data structures: what the module knows of requests, volumes and nodes. It decides nothing.
 
@@ -75,6 +78,7 @@
 	hosts   float64
 	reserve bucket
 	usual   bucket // what it asks on a usual day
+	asks    bucket // the same, drawn when it asks and not when that leaves
 	limit   bucket
 	own     float64 // units served here, halved every halfLife
 	foreign float64 // and elsewhere, as far as told
@@ -100,9 +104,14 @@
 	busy   bool
 	moved  time.Duration // when its windows last moved
 	vtime  float64
-	served float64 // units answered in time in this period by a warm node
-	rate   float64 // smoothed, in units a second
-	seen   float64 // weight of what rate was made of, up to 1
+	asked  float64 // units that volumes have asked for inside their usual rates, fading over RampTime
+	fadeAt time.Duration
+}
+
+// ask counts units asked for now.
+func (sh *shard) ask(now, over time.Duration, units float64) {
+	sh.asked = sh.asked*math.Exp(-float64(now-sh.fadeAt)/float64(over)) + units
+	sh.fadeAt = now
 }
 
 // node is a process that serves a shard.
--- a/module_test.go
+++ b/module_test.go
@@ -299,8 +299,8 @@
 			t.Errorf("sent %v", got)
 		}
 	})
-	t.Run("a gateway without history sends its even part, one request at a time", func(t *testing.T) {
-		g := newGate(t, nil)
+	t.Run("a gateway that nobody asks usually sends its even part, one request at a time", func(t *testing.T) {
+		g := newGate(t, func(s *Settings) { s.Plans[0].Rate = 0.1 })
 		g.after(2 * time.Second)
 		restart(g)
 		sends, units := 0, 0.0
@@ -312,19 +312,54 @@
 				g.step(Outcome{ID: id, Node: 1, Status: OK, Latency: 5 * ms, Terminal: true})
 			}
 		}
-		// 1 - coldPart of half of 12 units a second when it starts, twice that after 4 s.
+		// coldEven of half of 12 units a second when it starts, twice that after 4 s.
 		if units < 5 || units > 24 {
 			t.Errorf("%d requests, %.0f units in 4 s, want about 2 units a second growing slowly", sends, units)
 		}
 	})
 	t.Run("a gateway with history sends its part of the bound", func(t *testing.T) {
-		g := newGate(t, nil)
+		g := newGate(t, func(s *Settings) { s.Plans[0].Rate = 100 })
 		g.serve(20*time.Second, 20*ms, 30*ms, OK)
 		restart(g)
 		if n := g.serve(time.Second, 10*ms, 30*ms, OK); n < 8 { // the even part alone is 3 to 4
 			t.Errorf("only %d sent though each was answered", n)
 		}
 	})
+	t.Run("a gateway that was never served sends what is usually asked of it", func(t *testing.T) {
+		set := func(s *Settings) { s.Siblings, s.Plans[0].Rate = 80, 4 }
+		for _, quick := range []bool{true, false} {
+			g := newGate(t, set)
+			restart(g)
+			sends, lat := 0, 2*g.s.threshold
+			if quick {
+				lat = 5 * ms
+			}
+			var out []Event
+			for k := range 1200 { // 12 s of 4 units a second; the even part is 0.02 to 0.07
+				g.now += 10 * ms
+				events := append(out, Wake{})
+				out = nil
+				if k%50 == 0 {
+					events = append(events, g.ask("bulk", "gold", 1, 2, uint64(k)))
+				}
+				for _, id := range sendsOf(g.step(events...)) {
+					sends++
+					out = append(out, Outcome{ID: id, Node: 1, Status: OK, Latency: lat, Terminal: true})
+				}
+			}
+			if least := map[bool]int{true: 20, false: 6}[quick]; sends < least {
+				t.Errorf("quick %v: %d of 24 requests were sent", quick, sends)
+			}
+		}
+	})
+	t.Run("a surge does not count as usual", func(t *testing.T) {
+		g := newGate(t, func(s *Settings) { s.Plans[0].Rate = 2 })
+		restart(g)
+		n := g.serve(4*time.Second, 10*ms, 500*ms, OK) // 200 units a second
+		if units := 2 * n; units > 30 {
+			t.Errorf("%d units sent in 4 s", units)
+		}
+	})
 }
 
 func TestKeysTakeTurns(t *testing.T) {
--- a/property_test.go
+++ b/property_test.go
@@ -437,7 +437,7 @@
 // 80 units a second when warm and starts at StartCapacity, the worst that the settings allow.
 func TestManyGatewaysShareAColdNode(t *testing.T) {
 	for _, gates := range []int{1, 5, 120} {
-		for seed := range uint64(3) {
+		for seed := range uint64(40) {
 			t.Run(fmt.Sprintf("%d/%d", gates, seed), func(t *testing.T) { playCold(t, gates, seed) })
 		}
 	}
@@ -447,6 +447,7 @@
 	const full = 80.0 // units a second
 	set := propertySettings(1)
 	set.Siblings, set.Shards, set.AskList, set.FallWindow, set.ColdBears = gates, 1, false, time.Second, 12
+	set.Plans[1].Rate = 0.6 * full / 8 // what the volumes are sized for is a usual day's load
 	rnd := rand.New(rand.NewPCG(seed, 11))
 	now, restart := time.Hour, time.Hour+30*time.Second
 	type pending struct {
@@ -483,9 +484,10 @@
 		}
 		for range 4 {
 			if rnd.Float64() < load*full/3.5*0.001 { // requests of 1 to 6 units
-				i, v := rnd.IntN(gates), rnd.IntN(8)
+				v, hosts := rnd.IntN(8), min(gates, 14)
+				i := (v*hosts + rnd.IntN(hosts)) % gates // a volume comes through its own gateways, and no others
 				a := Arrival{ID: id, Class: "all", Plan: "large", Volume: VolumeID(v), Key: uint64(id),
-					TTL: 4 * time.Second, Units: float64(1 + rnd.IntN(6)), Hosts: min(gates, 14)}
+					TTL: 4 * time.Second, Units: float64(1 + rnd.IntN(6)), Hosts: hosts}
 				units[id] = a.Units
 				queue[i], id = append(queue[i], a), id+1
 			}
--- a/scheduler.go
+++ b/scheduler.go
@@ -30,7 +30,9 @@
 	growth        = 4.0                   // doublings in halfLife of a window under one while nothing is out
 	patience      = 0.6                   // an answer is expected within this many times L
 	patienceLong  = 4                     // an answer owed for this many times T and L is missing
-	coldPart      = 0.7                   // of FallMultiple: what a cold node is sent at most
+	coldPart      = 1.4                   // of FallMultiple: what of the usual demand goes to a cold node
+	coldEven      = 0.3                   // of ColdBears: what it is sent without any
+	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
 	listCall      = 60 * time.Millisecond // a call of discovery may take it so long, and all gateways call
 	mostShards    = 1 << 12               // a list that names a shard beyond is in error
@@ -229,7 +231,7 @@
 		if n.window == 0 || e.StartedAt != n.StartedAt { // new or restarted
 			n.window, n.spare, n.latency = windowStart, s.share(windowSpare), s.threshold
 			n.failures, n.turned, n.holdUntil = 0, 0, 0 // they were the old process's
-			n.warming = bucket{level: -2 * s.set.MeanUnits * s.rnd.Float64(), last: s.now}
+			n.warming = bucket{level: -2 * s.set.MeanUnits * s.rnd.Float64(), most: s.set.MeanUnits, last: s.now}
 		}
 		n.Node = e
 		for len(s.shards) <= e.Shard {
@@ -269,8 +271,8 @@
 }
 
 // askLater draws the time of the next call from all of wait, which is at least as long as discovery takes to
-// answer every gateway in turn. It guards against a fleet whose calls fail together, come again together and fail
-// again: those that discovery gave up on have cost it as much as others.
+// answer every gateway in turn. It guards against a fleet whose calls fail together, come again together and
+// fail again: those that discovery gave up on have cost it as much as others.
 func (s *Scheduler) askLater(wait time.Duration) {
 	s.askWait = max(wait, s.set.AskWithin/32, time.Duration(s.set.Siblings)*listCall, s.set.Tick)
 	s.askAgain = s.now + time.Duration(s.rnd.Float64()*float64(s.askWait))
@@ -317,6 +319,11 @@
 		return
 	}
 	r.vol = s.volume(a, plan)
+	if s.set.RampTime > 0 && r.due-s.now > r.class.Aim*9/10 { // no repeat; and of a surge the usual part
+		usual := min(r.Units, r.vol.asks.at(s.now))
+		r.vol.asks.take(s.now, usual)
+		r.shard.ask(s.now, s.set.RampTime, usual)
+	}
 	s.reqs[a.ID] = r
 	heap.Push(&s.expiries, expiry{r.expiry, r})
 	if s.inTurn(r) {
@@ -325,10 +332,10 @@
 	s.hold(r)
 }
 
-// roomiest is where a new object goes: of two shards drawn by chance the one whose node has less to do, as seen
-// from here. The best of all would be the same for every gateway that has little out: with many of them it
-// draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are held back, turn
-// all away, owe answers or are cold; the best of such is taken only where there is no other.
+// roomiest is where a new object goes: of two shards drawn by chance the one whose node has less to do, as
+// seen from here. The best of all would be the same for every gateway that has little out: with many of them it
+// draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are held back,
+// turn all away, owe answers or are cold and may get no more now; such are taken only where there is no other.
 func (s *Scheduler) roomiest() (best *shard) {
 	load, open, seen := math.Inf(1), false, 0
 	for _, i := range s.rnd.Perm(len(s.shards)) {
@@ -338,8 +345,9 @@
 		}
 		n := sh.nodes[0]
 		silent, _ := s.silent(n)
-		ready := n.turned == 0 && n.failures == 0 && s.now >= n.holdUntil && !silent && !s.cold(n)
-		if l := float64(n.inUse+1) * float64(s.delay(n)); best == nil || ready && !open || ready == open && l < load {
+		ready := n.turned == 0 && n.failures == 0 && s.now >= n.holdUntil && !silent && s.bears(n)
+		l := float64(n.inUse+1) * float64(s.delay(n))
+		if best == nil || ready && !open || ready == open && l < load {
 			best, load, open = sh, l, ready
 		}
 		if ready {
@@ -364,6 +372,8 @@
 		v.reserve.level = v.reserve.most
 		v.usual.set(plan.Rate/hosts, plan.Rate/hosts+s.set.MostUnits, s.now)
 		v.usual.level = v.usual.most
+		v.asks.set(plan.Rate/hosts, plan.Rate/hosts+s.set.MeanUnits, s.now)
+		v.asks.level = v.asks.most
 		v.limit.set(plan.Limit/hosts, plan.LimitCap/hosts, s.openedAt)
 		s.volumes[a.Volume] = v
 	}
@@ -593,8 +603,8 @@
 	s.observe(n, t, o)
 	if o.Status == OK {
 		s.learn(r.vol, r.Units, o)
-		if !s.cold(n) {
-			r.shard.served += r.Units
+		if s.cold(n) && o.Latency <= s.threshold {
+			n.warming.take(s.now, -r.Units) // it keeps up with what it is sent
 		}
 	}
 	switch o.Status {
@@ -641,7 +651,8 @@
 	part := (fade*v.own + even/v.hosts) / (fade*(v.own+v.foreign) + even)
 	v.reserve.at(s.now)
 	v.usual.at(s.now)
-	v.reserve.rate, v.usual.rate = v.plan.Reserve*part, v.plan.Rate*part
+	v.asks.at(s.now)
+	v.reserve.rate, v.usual.rate, v.asks.rate = v.plan.Reserve*part, v.plan.Rate*part, v.plan.Rate*part
 }
 
 // giveUp ends a request: refused where that is true to its effect, else failed.
@@ -740,13 +751,6 @@
 			weights += f.vol.plan.Weight
 		}
 	}
-	if len(sh.nodes) > 0 && !s.cold(sh.nodes[0]) {
-		slow := math.Exp2(-float64(elapsed) / float64(s.set.RampTime))
-		seen := slow*sh.seen + 1 - slow
-		sh.rate = (slow*sh.seen*sh.rate + (1-slow)*sh.served/elapsed.Seconds()) / seen
-		sh.seen = seen
-	}
-	sh.served = 0
 	if weights == 0 { // nothing held or out: the shares start anew
 		sh.vtime = max(sh.vtime, top)
 	}
@@ -830,7 +834,12 @@
 	if s.inTurn(r) && !s.firstInTurn(r) {
 		return false
 	}
-	return !s.cold(n) || s.coldRoom(n).at(s.now) >= 0
+	return s.bears(n)
+}
+
+// bears tells whether a node may be sent another request as far as it is cold.
+func (s *Scheduler) bears(n *node) bool {
+	return !s.cold(n) || float64(n.inUse) < max(1, s.share(coldOut)) && s.coldRoom(n).at(s.now) >= 0
 }
 
 // mayRepeat tells whether the class allows another attempt at this node.
@@ -861,22 +870,24 @@
 
 // coldRoom is the bucket of units that this gateway may send a cold node; a request may overdraw it. Let C be
 // the node's full capacity, c its least present part by its age, M FallMultiple, F FallWindow and p coldPart.
-// What gateways were served at the shard while it was warm adds up to at most C, so rates of p*M*c times each
-// one's own add up to p*M*c*C; ColdBears at StartCapacity is borne and grows with c, so even parts of 1-p of
-// it add up to at most (1-p)*M*c*C. Together that is at most what the node bears in F, and at usual load near
-// half of it. Where parts are under one request, a bucket that never holds more than zero and starts at a
-// drawn debt makes each gateway send its rate on average, apart from the others: chance must fill the rest.
-// For F after its own start a gateway sends nothing: its predecessor may have spent that.
+// What the shard's volumes ask of all gateways inside their usual rates adds up to at most 2/3 of C, so rates of
+// p*M*c times what is so asked of each gateway add up to less than M*c*C. What is asked counts, not what is
+// served: a gateway that has just started, or whose nodes are all cold, has been served nothing, and would send
+// nothing for good. Where the pool is fuller, answers take longer than T, and the rate falls by as much.
+// ColdBears at StartCapacity is borne and grows with c: even parts of coldEven of it serve those who know
+// nothing. Where parts are under one request, a drawn debt at the start keeps the gateways apart, and the bucket
+// never holds more than a request of mean size. An answer within T pays back what it took: such a node keeps up;
+// coldOut bounds what may come at once all the same. For F after its own start a gateway counts as there for F.
 func (s *Scheduler) coldRoom(n *node) *bucket {
-	if s.now-s.openedAt < s.set.FallWindow {
-		return &bucket{level: -1}
-	}
 	sh := s.shards[n.Shard]
 	age := max(0, float64(s.now-n.StartedAt-s.set.FallWindow)/float64(s.set.RampTime))
 	present := s.set.StartCapacity + (1-s.set.StartCapacity)*age
-	even := (1 - coldPart) * s.share(s.set.ColdBears) / s.set.StartCapacity / s.set.FallWindow.Seconds()
-	own := coldPart * s.set.FallMultiple * sh.rate * min(1, 8*sh.seen)
-	n.warming.rate = present * max(even, own)
+	even := coldEven * s.share(s.set.ColdBears) / s.set.StartCapacity / s.set.FallWindow.Seconds()
+	sh.ask(s.now, s.set.RampTime, 0)
+	ramp := s.set.RampTime.Seconds()
+	seen := ramp * -math.Expm1(-max(s.now-s.openedAt, s.set.FallWindow).Seconds()/ramp) // seconds in sh.asked
+	own := coldPart * s.set.FallMultiple * sh.asked / seen
+	n.warming.rate = present * max(even, own*min(1, float64(s.threshold)/float64(s.delay(n))))
 	return &n.warming
 }
 
