--- a/scheduler.go
+++ b/scheduler.go
@@ -34,7 +34,7 @@
 	coldEven      = 0.3                   // of ColdBears: what it is sent without any
 	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
-	listCall      = 60 * time.Millisecond // a call of discovery may take it so long, and all gateways call
+	listCall      = 6 * time.Second / 100 // a call of discovery may take it so long, and all gateways call
 	mostShards    = 1 << 12               // a list that names a shard beyond is in error
 )
 
@@ -333,9 +333,10 @@
 }
 
 // roomiest is where a new object goes: of two shards drawn by chance the one whose node has less to do, as
-// seen from here. The best of all would be the same for every gateway that has little out: with many of them it
-// draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are held back,
-// turn all away, owe answers or are cold and may get no more now; such are taken only where there is no other.
+// seen from here. The best of all would be the same for every gateway that has little out: with many of
+// them it draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are
+// held back, turn all away, owe answers or are cold and may get no more now; such are taken only where
+// there is no other.
 func (s *Scheduler) roomiest() (best *shard) {
 	load, open, seen := math.Inf(1), false, 0
 	for _, i := range s.rnd.Perm(len(s.shards)) {
@@ -868,16 +869,17 @@
 	return n.StartedAt > 0 && s.now-n.StartedAt < s.set.RampTime && s.set.FallMultiple > 0
 }
 
-// coldRoom is the bucket of units that this gateway may send a cold node; a request may overdraw it. Let C be
-// the node's full capacity, c its least present part by its age, M FallMultiple, F FallWindow and p coldPart.
-// What the shard's volumes ask of all gateways inside their usual rates adds up to at most 2/3 of C, so rates of
-// p*M*c times what is so asked of each gateway add up to less than M*c*C. What is asked counts, not what is
-// served: a gateway that has just started, or whose nodes are all cold, has been served nothing, and would send
-// nothing for good. Where the pool is fuller, answers take longer than T, and the rate falls by as much.
-// ColdBears at StartCapacity is borne and grows with c: even parts of coldEven of it serve those who know
-// nothing. Where parts are under one request, a drawn debt at the start keeps the gateways apart, and the bucket
-// never holds more than a request of mean size. An answer within T pays back what it took: such a node keeps up;
-// coldOut bounds what may come at once all the same. For F after its own start a gateway counts as there for F.
+// coldRoom is the bucket of units that this gateway may send a cold node; a request may overdraw it. Let C
+// be the node's full capacity, c its least present part by its age, M FallMultiple, F FallWindow and p
+// coldPart. What the shard's volumes ask of all gateways inside their usual rates adds up to at most 2/3 of
+// C, so rates of p*M*c times what is so asked of each gateway add up to less than M*c*C. What is asked
+// counts, not what is served: a gateway that has just started, or whose nodes are all cold, has been served
+// nothing, and would send nothing for good. Where the pool is fuller, answers take longer than T, and the
+// rate falls by as much. ColdBears at StartCapacity is borne and grows with c: even parts of coldEven of it
+// serve those who know nothing. Where parts are under one request, a drawn debt at the start keeps the
+// gateways apart, and the bucket never holds more than a request of mean size. An answer within T pays back
+// what it took: such a node keeps up; coldOut bounds what may come at once all the same. For F after its
+// own start a gateway counts as there for F.
 func (s *Scheduler) coldRoom(n *node) *bucket {
 	sh := s.shards[n.Shard]
 	age := max(0, float64(s.now-n.StartedAt-s.set.FallWindow)/float64(s.set.RampTime))
