Let the loop answer a copy that took all its time to get here, not the guard

Now the guard counts from the taking at the earliest. The test gives a message whose last byte comes late, and a loop that takes 5 ms; it fails without the change.

--- a/internal/front/devicefront/conn.go
+++ b/internal/front/devicefront/conn.go
@@ -462,7 +462,9 @@
 		return nil
 	}
 	c.open[string(p.token)] = p
-	p.stop = c.f.Clock.AfterFunc(req.LeftMs+clock.Ms(c.f.GuardTime), func() { c.late(p) })
+	// A copy that took all its time to get here has its answer from the ledger at once. The guard must not race that:
+	// a device that was told of its write by an earlier copy would be told now that it failed.
+	p.stop = c.f.Clock.AfterFunc(max(0, req.LeftMs)+clock.Ms(c.f.GuardTime), func() { c.late(p) })
 	c.mu.Unlock()
 	req.Reply = func(a core.Answer) { c.answered(p, a) }
 	if !c.f.Loop.Offer(req) {
--- a/internal/front/devicefront/front_test.go
+++ b/internal/front/devicefront/front_test.go
@@ -626,3 +626,30 @@
 	f.CloseAll()
 	f.End()
 }
+
+// A message whose last byte comes when its device's time is up still gets the loop's answer, not the guard's: an
+// earlier copy may have been told that it was served.
+func TestTheGuardWaitsForTheLoop(t *testing.T) {
+	slow := func(r *core.Request) {
+		time.Sleep(5 * time.Millisecond)
+		r.Reply(core.Answer{Verdict: core.Served, Result: []byte("kept"), Kept: true})
+	}
+	inBubble(t, 4096, slow, func(f *Front, l *fakeLoop, k *client) {
+		raw := coapwire.Encode(ask(codes.PUT, 1, []byte("x"), func(o message.Options) message.Options {
+			for i := range o {
+				if o[i].ID == coapwire.OptLeft {
+					o[i] = coapwire.Uint(coapwire.OptLeft, 200)
+				}
+			}
+			return o
+		}))
+		k.nc.Write(raw[:len(raw)-1])
+		time.Sleep(500 * time.Millisecond)
+		k.nc.Write(raw[len(raw)-1:])
+		k.want(codes.Changed)
+		synctest.Wait()
+		if _, gone, _ := l.counts(); gone != 0 {
+			t.Errorf("the guard gave up %d requests", gone)
+		}
+	})
+}
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -116,7 +116,8 @@
 		return
 	}
 	late := make(chan struct{})
-	stop := f.Clock.AfterFunc(req.LeftMs+guardMs, func() { close(late) })
+	// What took all its time to get here is answered at once, and the guard must not race that.
+	stop := f.Clock.AfterFunc(max(0, req.LeftMs)+guardMs, func() { close(late) })
 	defer stop()
 	select {
 	case a := <-answers:
