Put new objects on nodes that the gateway has met, and not on those that have just failed

At fault: roomiest() drew from all shards, and looked at refused and full answers, not at errors.

Now a node that answered with an error rests from new objects for 4 s, and once 8 nodes have answered this gateway, new objects go to such. Each gateway has other ones, since its volumes lie elsewhere. The test fails without either.

--- a/module_test.go
+++ b/module_test.go
@@ -952,3 +952,62 @@
 		t.Errorf("%d of %d gateways were told in 30 s, by %d calls", told, gates, len(calls))
 	}
 }
+
+// newObjects tells where a gateway puts new objects that it is asked for one by one, each answered at once.
+func newObjects(t *testing.T, s *Scheduler, now *time.Duration, id *RequestID, count int, answer func(NodeID) Status) map[NodeID]int {
+	t.Helper()
+	got := map[NodeID]int{}
+	for range count {
+		*now += 20 * ms
+		*id++
+		a := Arrival{ID: *id, Class: "read", Plan: "gold", TTL: 3 * time.Second, Units: 1, Shard: -1, Hosts: 1}
+		for _, a := range s.Step(*now, []Event{a}) {
+			if a, ok := a.(Send); ok {
+				got[a.Node]++
+				s.Step(*now+5*ms, []Event{Outcome{ID: a.ID, Node: a.Node, Status: answer(a.Node), Latency: 5 * ms, Terminal: true}})
+			}
+		}
+		*now += 5 * ms
+	}
+	return got
+}
+
+// TestNewObjectsKeepToNodesThatAreMet: a gateway that puts its new objects on ever new nodes opens a connection to
+// each of them, and so do all the others: handshakes cost the nodes work. Nor do new objects go to a node that has
+// just answered with an error, as quick as that may be, until it has rested.
+func TestNewObjectsKeepToNodesThatAreMet(t *testing.T) {
+	set := testSettings()
+	set.Shards = 60
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NodeList{Scope: Stale}
+	for i := range set.Shards {
+		l.Nodes = append(l.Nodes, Node{ID: NodeID(i + 1), Shard: i})
+	}
+	now, id := time.Hour, RequestID(0)
+	s.Step(now, []Event{l})
+	fine := func(NodeID) Status { return OK }
+	got := newObjects(t, s, &now, &id, 200, fine)
+	if len(got) != fewMet {
+		t.Errorf("200 new objects went to %d nodes, want %d: %v", len(got), fewMet, got)
+	}
+	var bad NodeID
+	for n := range got {
+		bad = max(bad, n)
+	}
+	errs := newObjects(t, s, &now, &id, 100, func(n NodeID) Status {
+		if n == bad {
+			return Error
+		}
+		return OK
+	})
+	if errs[bad] != 1 {
+		t.Errorf("%d new objects went to a node that fails them", errs[bad])
+	}
+	now += errorRest
+	if got := newObjects(t, s, &now, &id, 200, fine); got[bad] == 0 {
+		t.Errorf("the node that has rested got none: %v", got)
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -32,6 +32,8 @@
 	patienceLong  = 4                     // an answer owed for this many times T and L is missing
 	coldPart      = 1.4                   // of FallMultiple: what of the usual demand goes to a cold node
 	coldEven      = 0.3                   // of ColdBears: what it is sent without any
+	errorRest     = 4 * time.Second       // a node that answered with an error gets no new objects for so long
+	fewMet        = 8                     // a gateway that has met fewer nodes puts new objects on others, too
 	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
 	listCall      = 6 * time.Second / 100 // a call of discovery may take it so long, and all gateways call
@@ -230,7 +232,7 @@
 		}
 		if n.window == 0 || e.StartedAt != n.StartedAt { // new or restarted
 			n.window, n.spare, n.latency = windowStart, s.share(windowSpare), s.threshold
-			n.failures, n.turned, n.holdUntil = 0, 0, 0 // they were the old process's
+			n.failures, n.turned, n.holdUntil, n.answered, n.erredAt, n.kept = 0, 0, 0, 0, 0, 1 // they were the old process's
 			n.warming = bucket{level: -2 * s.set.MeanUnits * s.rnd.Float64(), most: s.set.MeanUnits, last: s.now}
 		}
 		n.Node = e
@@ -333,12 +335,18 @@
 }
 
 // roomiest is where a new object goes: of two shards drawn by chance the one whose node has less to do, as
-// seen from here. The best of all would be the same for every gateway that has little out: with many of
-// them it draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are
-// held back, turn all away, owe answers or are cold and may get no more now; such are taken only where
-// there is no other.
+// seen from here. The best of all would be the same for every gateway that has little out: with many of them it
+// draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are held back,
+// turn all away, owe answers, have failed lately or are cold and may get no more now; and, as soon as a few
+// have been met, those that have not: they cost a handshake from every gateway. Such are taken where there is
+// no other.
 func (s *Scheduler) roomiest() (best *shard) {
-	load, open, seen := math.Inf(1), false, 0
+	load, open, seen, met := math.Inf(1), false, 0, 0
+	for _, sh := range s.shards {
+		if len(sh.nodes) > 0 && sh.nodes[0].answered > 0 {
+			met++
+		}
+	}
 	for _, i := range s.rnd.Perm(len(s.shards)) {
 		sh := s.shards[i]
 		if len(sh.nodes) == 0 {
@@ -346,7 +354,8 @@
 		}
 		n := sh.nodes[0]
 		silent, _ := s.silent(n)
-		ready := n.turned == 0 && n.failures == 0 && s.now >= n.holdUntil && !silent && s.bears(n)
+		ready := n.turned == 0 && n.failures == 0 && s.now >= n.holdUntil && !silent && s.bears(n) &&
+			(n.erredAt == 0 || s.now-n.erredAt > errorRest) && (n.answered > 0 || met < fewMet)
 		l := float64(n.inUse+1) * float64(s.delay(n))
 		if best == nil || ready && !open || ready == open && l < load {
 			best, load, open = sh, l, ready
@@ -731,6 +740,7 @@
 			n.holdUntil = max(n.holdUntil, s.now+s.threshold<<(n.turned-2))
 		}
 	case Error:
+		n.erredAt = s.now
 		n.answered, n.failures, n.turned = s.now, 0, 0 // no latency: fast errors must not open the window
 	case ConnectFailed, Reset:
 		if o.Status == Reset && s.now-n.answered < patienceLong*s.threshold {
