Pay back a cold node's budget by how quick its answers are

Answers over T (109 ms) paid nothing back, whatever their request's size, and the gateway then waited 2 to 4 s for its rate.

At fault: outcome(), which took an answer within T or none.

Now an answer pays back the part T/latency of what it took, T growing with the request's units.

--- a/books.go
+++ b/books.go
@@ -128,7 +128,6 @@
 	lastSend  time.Duration
 	answered  time.Duration // when it last answered
 	erredAt   time.Duration // when it last answered with an error
-	kept      int           // connections that it is held to have open: the most requests that were out at once
 	closedAt  time.Duration // when its last attempt ended
 	took      time.Duration // and how long that took
 	newest    time.Duration // when the youngest attempt that it answered was sent
--- a/scheduler.go
+++ b/scheduler.go
@@ -30,7 +30,7 @@
 	growth        = 4.0                   // doublings in halfLife of a window under one while nothing is out
 	patience      = 0.6                   // an answer is expected within this many times L
 	patienceLong  = 4                     // an answer owed for this many times T and L is missing
-	coldPart      = 1.4                   // of FallMultiple: what of the usual demand goes to a cold node
+	coldPart      = 1.2                   // of FallMultiple: what of the usual demand goes to a cold node
 	coldEven      = 0.3                   // of ColdBears: what it is sent without any
 	errorRest     = 4 * time.Second       // a node that answered with an error gets no new objects for so long
 	fewMet        = 8                     // a gateway that has met fewer nodes puts new objects on others, too
@@ -232,7 +232,7 @@
 		}
 		if n.window == 0 || e.StartedAt != n.StartedAt { // new or restarted
 			n.window, n.spare, n.latency = windowStart, s.share(windowSpare), s.threshold
-			n.failures, n.turned, n.holdUntil, n.answered, n.erredAt, n.kept = 0, 0, 0, 0, 0, 1 // they were the old process's
+			n.failures, n.turned, n.holdUntil, n.answered, n.erredAt = 0, 0, 0, 0, 0 // the old process's
 			n.warming = bucket{level: -2 * s.set.MeanUnits * s.rnd.Float64(), most: s.set.MeanUnits, last: s.now}
 		}
 		n.Node = e
@@ -335,11 +335,11 @@
 }
 
 // roomiest is where a new object goes: of two shards drawn by chance the one whose node has less to do, as
-// seen from here. The best of all would be the same for every gateway that has little out: with many of them it
-// draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are held back,
-// turn all away, owe answers, have failed lately or are cold and may get no more now; and, as soon as a few
-// have been met, those that have not: they cost a handshake from every gateway. Such are taken where there is
-// no other.
+// seen from here. The best of all would be the same for every gateway that has little out: with many of
+// them it draws the whole fleet's objects, and the reads that follow them. Passed over are nodes that are
+// held back, turn all away, owe answers, have failed lately or are cold and may get no more now; and, as
+// soon as a few have been met, those that have not: they cost a handshake from every gateway. Such are
+// taken where there is no other.
 func (s *Scheduler) roomiest() (best *shard) {
 	load, open, seen, met := math.Inf(1), false, 0, 0
 	for _, sh := range s.shards {
@@ -613,8 +613,9 @@
 	s.observe(n, t, o)
 	if o.Status == OK {
 		s.learn(r.vol, r.Units, o)
-		if s.cold(n) && o.Latency <= s.threshold {
-			n.warming.take(s.now, -r.Units) // it keeps up with what it is sent
+		if s.cold(n) && o.Latency > 0 { // as far as it keeps up with what it is sent
+			quick := float64(s.threshold) / float64(o.Latency) * max(1, r.Units/max(1, s.set.MeanUnits))
+			n.warming.take(s.now, -r.Units*min(1, quick))
 		}
 	}
 	switch o.Status {
@@ -887,9 +888,9 @@
 // nothing, and would send nothing for good. Where the pool is fuller, answers take longer than T, and the
 // rate falls by as much. ColdBears at StartCapacity is borne and grows with c: even parts of coldEven of it
 // serve those who know nothing. Where parts are under one request, a drawn debt at the start keeps the
-// gateways apart, and the bucket never holds more than a request of mean size. An answer within T pays back
-// what it took: such a node keeps up; coldOut bounds what may come at once all the same. For F after its
-// own start a gateway counts as there for F.
+// gateways apart, and the bucket never holds more than a request of mean size. An answer pays back what it
+// took, and less the longer than T it took for its size: such a node keeps up. coldOut bounds what may come
+// at once all the same. For F after its own start a gateway counts as there for F.
 func (s *Scheduler) coldRoom(n *node) *bucket {
 	sh := s.shards[n.Shard]
 	age := max(0, float64(s.now-n.StartedAt-s.set.FallWindow)/float64(s.set.RampTime))
