Look for a roomier shard only for a new object that has not run

Read again: outcome() called roomiest() at the end of every attempt that did not serve, and used what it found only for new objects that nobody has. Since that draws shards by chance it also walked all of them, drew numbers and brought cold nodes' budgets up to date for nothing. Now it is called where its result is used; what is decided is the same, but for the numbers drawn.

--- a/scheduler.go
+++ b/scheduler.go
@@ -636,8 +636,10 @@
 	}
 	// Another attempt, if the rules allow one and the aim can still be met.
 	r.notBefore = s.now + n.latency/4
-	if sh := s.roomiest(); r.Shard == -1 && !r.mayRun && sh != nil {
-		r.shard = sh // a new object that nobody has yet may go elsewhere
+	if r.Shard == -1 && !r.mayRun { // a new object that nobody has yet may go elsewhere
+		if sh := s.roomiest(); sh != nil {
+			r.shard = sh
+		}
 	}
 	if o.Status != TimedOut && r.notBefore+s.threshold/2 <= r.due && s.mayRepeat(r) && s.extraLeft() {
 		s.hold(r)
