Answer what is out when the gateway ends, also what was taken before SIGTERM

A bulk-read has 5 s, the platform leaves the program 3.7 s. Of 23 requests that were out at their gateway's end all had been taken before SIGTERM, up to 1.1 s; some 13 at n33 at one node that did not answer.

At fault: the front cut the time only of what it took after SIGTERM (front.go, endMs); Gateway.Kill closed the rest.

Now the module is told of the end (Ending): what is open keeps its place and has until 150 ms before the kill; then it is refused where that is harmless, else failed. What comes later over any front is bound by the same. A connection's answer that is written after the close has begun says so even if its request came before.

--- a/api.go
+++ b/api.go
@@ -210,6 +210,9 @@
 	Report  []float64
 }
 
+// Ending tells that the gateway ends. What is open then must have been answered by At.
+type Ending struct{ At time.Duration }
+
 // Wake is the return of a WakeAt.
 type Wake struct{}
 
@@ -219,6 +222,7 @@
 func (Started) event()  {}
 func (Dropped) event()  {}
 func (Probed) event()   {}
+func (Ending) event()   {}
 func (Wake) event()     {}
 
 // Action is something the gateway must now do. Actions are carried out in order.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -362,6 +362,12 @@
 	delete(c.ids, n.Name)
 }
 
+// Ending tells that the gateway ends, and by when all that is open must have been answered: also what was taken
+// before anyone knew, and may wait for longer than the platform leaves the program.
+func (c *Core) Ending(atMs float64) {
+	c.events = append(c.events, policy.Ending{At: clock.Duration(atMs)})
+}
+
 // Wake tells that a time asked for with Outside.WakeAt has come.
 func (c *Core) Wake() { c.events = append(c.events, policy.Wake{}) }
 
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -140,6 +140,9 @@
 }
 
 func (f *Front) answer(w http.ResponseWriter, r *http.Request, req *core.Request, a core.Answer) {
+	if f.closing.Load() { // it may have begun while the request was out: what is told to end crosses no request
+		w.Header().Set("Connection", "close")
+	}
 	switch a.Verdict {
 	case core.Served:
 		if f.Devices {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 	for _, p := range g.parts {
 		p.stopping(graceMs)
 	}
+	g.loop.Ending(g.Clock.NowMs() + graceMs - endMs)
 	var all sync.WaitGroup
 	for _, p := range g.parts {
 		all.Go(func() { p.drain(graceMs) })
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -96,6 +96,9 @@
 	})
 }
 
+// Ending tells that the gateway ends, and by when all that is open must have been answered.
+func (l *Loop) Ending(atMs float64) { l.post(func(float64) { l.core.Ending(atMs) }) }
+
 // Desk is the desk, if there is one.
 func (l *Loop) Desk() core.Desk { return l.core.Desk() }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -76,6 +76,7 @@
 	askAgain   time.Duration // when to subscribe (again)
 	askWait    time.Duration // the latest pause before that was drawn from this
 	askedAt    time.Duration
+	endsAt     time.Duration // when all must have been answered, since the gateway ends; 0: it does not
 }
 
 // New returns a scheduler for one gateway, or an error if the settings cannot be used.
@@ -143,6 +144,8 @@
 			if r := s.reqs[e.ID]; r != nil {
 				r.expiry = 0 // it has no deadline any more
 			}
+		case Ending:
+			s.curtail(e.At)
 		case Wake:
 			if s.now >= s.wakeAt {
 				s.wakeSet = false
@@ -310,6 +313,9 @@
 			r.due -= age
 		}
 	}
+	if s.endsAt != 0 {
+		r.expiry = min(r.expiry, s.endsAt)
+	}
 	r.due = min(r.due, r.expiry)
 	if a.Shard == -1 {
 		r.shard = s.roomiest()
@@ -724,6 +730,20 @@
 	}
 }
 
+// curtail moves the ends of all requests that have longer to where the gateway ends. It guards against requests
+// that were taken before and are out for longer than that: their clients would get no answer.
+func (s *Scheduler) curtail(at time.Duration) {
+	s.endsAt = at
+	for i := range s.expiries { // later ones become equal, so the heap keeps its order
+		if e := &s.expiries[i]; e.at > at {
+			e.at = at
+			if e.r.expiry != 0 {
+				e.r.expiry, e.r.due = at, min(e.r.due, at)
+			}
+		}
+	}
+}
+
 // ---- the window ----
 
 // observe feeds an outcome to what is known of its node.
