Ask for the list within half of AskWithin at first, and back off by what fails

Meanwhile 3,231 units inside reserves were given up since no node of their shard was known, 1,266 since the known one refused connections.

At fault: askLater drew the first call from 60 ms times the number of gateways, 18 s for 300. A gateway that has not asked for AskWithin counts as told all the same, so the first call now comes within half of it (5 s in the settings); the assumed time of all calls bounds how far a gateway backs off instead, from twice on. With 80 gateways nothing changes.

Tests besides: a limit through few of 300 gateways is held and used; benchmarks of a list, a change and a request.

--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,128 @@
+package gaugerelay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleet is the size that the tests of many gateways play: what each does alone must stay small in sum.
+const fleet = 300
+
+// fleetNodes is a list of one node a shard.
+func fleetNodes(n int) (l NodeList) {
+	l.Scope = Stale
+	for i := range n {
+		l.Nodes = append(l.Nodes, Node{ID: NodeID(i + 1), Shard: i})
+	}
+	return l
+}
+
+// TestALimitThroughFewOfManyGateways: a volume with a limit comes through one to three of 300 gateways, unevenly,
+// and asks for three times its limit. All together keep the limit's store over -LimitDebt, whatever each sends, and
+// the volume is served most of what its limit allows through as many gateways as it uses.
+func TestALimitThroughFewOfManyGateways(t *testing.T) {
+	for hosts := 1; hosts <= 3; hosts++ {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			set := testSettings()
+			set.Siblings, set.Shards = fleet, 20
+			plan := &set.Plans[3]
+			plan.LimitCap, plan.LimitDebt = 2*6*float64(hosts), 6
+			rnd := rand.New(rand.NewPCG(uint64(hosts), 5))
+			ss := make([]*Scheduler, hosts)
+			for i := range ss {
+				s, err := New(set, rnd.Uint64())
+				if err != nil {
+					t.Fatal(err)
+				}
+				ss[i] = s
+				s.Step(time.Hour, []Event{fleetNodes(set.Shards)})
+			}
+			id, units, sent := RequestID(0), map[RequestID]float64{}, 0.0
+			store := bucket{rate: plan.Limit, most: plan.LimitCap, level: plan.LimitCap, last: time.Hour}
+			const length = 20 * time.Second
+			for now := time.Hour; now < time.Hour+length; now += 5 * ms {
+				events := make([][]Event, hosts)
+				if rnd.Float64() < 3*plan.Limit/3.5*0.005 {
+					id++
+					u := float64(1 + rnd.IntN(6))
+					units[id] = u
+					i := rnd.IntN(hosts)
+					events[i] = append(events[i], Arrival{ID: id, Class: "read", Plan: plan.Name, Volume: 7, Key: uint64(id),
+						TTL: time.Second, Units: u, Shard: rnd.IntN(set.Shards), Hosts: hosts})
+				}
+				for i, s := range ss {
+					for _, a := range s.Step(now, append(events[i], Wake{})) {
+						if a, ok := a.(Send); ok {
+							store.take(now, units[a.ID])
+							sent += units[a.ID]
+							s.Step(now, []Event{Outcome{ID: a.ID, Node: a.Node, Status: OK, Latency: 5 * ms, Terminal: true}})
+						}
+					}
+				}
+				if store.level < -plan.LimitDebt {
+					t.Fatalf("the limit's store is at %.1f, %v after the start", store.level, now-time.Hour)
+				}
+			}
+			if most := plan.Limit * length.Seconds(); sent < 0.8*most {
+				t.Errorf("%.0f units sent in %v, want most of %.0f", sent, length, most)
+			}
+		})
+	}
+}
+
+// BenchmarkFleetList is what news of the list costs one gateway: all of 200 nodes, and one of them.
+func BenchmarkFleetList(b *testing.B) {
+	set := testSettings()
+	set.Siblings, set.Shards = fleet, 200
+	for name, nodes := range map[string]int{"whole": 200, "change": 1} {
+		b.Run(name, func(b *testing.B) {
+			s, err := New(set, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := fleetNodes(200)
+			s.Step(time.Hour, []Event{l})
+			l.Scope, l.Nodes = Patch, l.Nodes[:nodes]
+			if nodes > 1 {
+				l.Scope = Whole
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Step(time.Hour, []Event{l})
+			}
+		})
+	}
+}
+
+// BenchmarkFleetRequest is what a request costs the module, from its arrival to its answer, with 200 nodes known.
+func BenchmarkFleetRequest(b *testing.B) {
+	set := testSettings()
+	set.Siblings, set.Shards = fleet, 200
+	for name, shard := range map[string]int{"named": 0, "new": -1} {
+		b.Run(name, func(b *testing.B) {
+			s, err := New(set, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			s.Step(time.Hour, []Event{fleetNodes(200)})
+			now, id := time.Hour, RequestID(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				a := Arrival{ID: id, Class: "read", Plan: "gold", Volume: VolumeID(id % 20), Key: uint64(id),
+					TTL: time.Second, Units: 2, Shard: shard, Hosts: 2}
+				if a.Shard == 0 {
+					a.Shard = int(id) % 200
+				}
+				now += 30 * ms
+				for _, a := range s.Step(now, []Event{a}) {
+					if a, ok := a.(Send); ok {
+						s.Step(now+5*ms, []Event{Outcome{ID: a.ID, Node: a.Node, Status: OK, Latency: 5 * ms, Terminal: true}})
+					}
+				}
+			}
+		})
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -211,12 +211,12 @@
 // list applies news of the nodes. A node that drains or is gone gets nothing more from now on.
 func (s *Scheduler) list(l *NodeList) {
 	if l.Scope == Broken {
-		// The list is out of reach: the old one holds. Ask again, ever less often up to AskWithin, unless the
-		// watch had held for long.
+		// The list is out of reach: the old one holds. Ask again, ever less often, unless the watch had held for
+		// long.
 		if s.now-s.askedAt > s.set.AskWithin {
 			s.askWait = 0
 		}
-		s.askLater(min(2*s.askWait, s.set.AskWithin))
+		s.askLater(min(2*s.askWait, max(s.set.AskWithin, 2*s.allCalls())))
 		return
 	}
 	if l.Scope != Stale {
@@ -275,11 +275,15 @@
 	}
 }
 
-// askLater draws the time of the next call from all of wait, which is at least as long as discovery takes to
-// answer every gateway in turn. It guards against a fleet whose calls fail together, come again together and
-// fail again: those that discovery gave up on have cost it as much as others.
+// allCalls is how long discovery may take to answer every gateway in turn.
+func (s *Scheduler) allCalls() time.Duration { return time.Duration(s.set.Siblings) * listCall }
+
+// askLater draws the time of the next call from all of wait, and at first from as long as discovery may take to
+// answer all gateways, if that is not too late: without a call for AskWithin a gateway counts as told all the
+// same. It guards against a fleet whose calls fail together, come again together and fail again: those that
+// discovery gave up on have cost it as much as others.
 func (s *Scheduler) askLater(wait time.Duration) {
-	s.askWait = max(wait, s.set.AskWithin/32, time.Duration(s.set.Siblings)*listCall, s.set.Tick)
+	s.askWait = max(wait, s.set.AskWithin/32, min(s.allCalls(), s.set.AskWithin/2), s.set.Tick)
 	s.askAgain = s.now + time.Duration(s.rnd.Float64()*float64(s.askWait))
 }
 
