--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -273,3 +273,47 @@
 		t.Errorf("%d nodes are still known; %d ids", n, len(ids))
 	}
 }
+
+// TestAListOfDoubles: hundreds of entries, every node named twice: the later entry counts, also for what holds the
+// earlier one, and nothing is kept of any once they are gone.
+func TestAListOfDoubles(t *testing.T) {
+	const names = 200
+	mod := &script{}
+	c := core.New(mod, &quiet{})
+	list := func(states ...policy.NodeState) (l core.List) {
+		for _, s := range states {
+			for i := range names {
+				l.Nodes = append(l.Nodes, &core.Node{Name: fmt.Sprint("s-", i), Addr: "127.0.0.1:1", Shard: i, State: s})
+			}
+		}
+		return l
+	}
+	l := list(policy.Live, policy.Draining)
+	c.Nodes(l)
+	c.Step(0)
+	if c.Known() != names {
+		t.Errorf("%d nodes known, want %d", c.Known(), names)
+	}
+	for i, n := range l.Nodes {
+		if !n.Closed() {
+			t.Fatalf("entry %d of a node that drains by a later one is open", i)
+		}
+	}
+	last := map[policy.NodeID]policy.NodeState{}
+	for _, n := range mod.seen[0].(policy.NodeList).Nodes {
+		last[n.ID] = n.State
+	}
+	if len(last) != names {
+		t.Errorf("the module was told of %d nodes", len(last))
+	}
+	for id, s := range last {
+		if s != policy.Draining {
+			t.Errorf("node %d is told last as %v", id, s)
+		}
+	}
+	c.Nodes(list(policy.Gone, policy.Gone))
+	c.Step(0)
+	if c.Known() != 0 {
+		t.Errorf("%d nodes known, and all are gone", c.Known())
+	}
+}
