Drop turns of keys that were left while they rested; tests of the fleet's dials and tables

Found by a model of 40 minutes with ever new volumes, nodes and keys (TestALongRunKeepsTheTables): 101 turns were kept after 76 s, and ever more. leaveTurn drops a turn only if its key has rested; after a time-out, reset or cancel it has not, and nothing looked at it again (scheduler.go, leaveTurn). forget now drops them with idle volumes' books.

Tests: 300 gateways open at most 8 connections each for new objects, evenly over the nodes, and probe none.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -126,3 +126,90 @@
 		})
 	}
 }
+
+// TestAFleetOpensFewConnections: 300 gateways with new objects alone, a hundred each, over 200 nodes. A node that a
+// gateway has not sent to before costs a connection; in sum they stay at fewMet for each gateway. None probes.
+func TestAFleetOpensFewConnections(t *testing.T) {
+	set := testSettings()
+	set.Siblings, set.Shards, set.AskList = fleet, 200, true
+	dials, perNode := 0, map[NodeID]int{}
+	for seed := range uint64(fleet) {
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, met := time.Hour, map[NodeID]bool{}
+		s.Step(now, []Event{fleetNodes(set.Shards)})
+		for id := RequestID(1); id <= 100; id++ {
+			now += 50 * ms
+			a := Arrival{ID: id, Class: "read", Plan: "gold", Volume: 1, Key: uint64(id), TTL: time.Second, Units: 2, Shard: -1, Hosts: 1}
+			for _, a := range s.Step(now, []Event{a}) {
+				switch a := a.(type) {
+				case Probe:
+					t.Fatal("a probe")
+				case Send:
+					if !met[a.Node] {
+						met[a.Node] = true
+						dials++
+						perNode[a.Node]++
+					}
+					s.Step(now+5*ms, []Event{Outcome{ID: a.ID, Node: a.Node, Status: OK, Latency: 5 * ms, Terminal: true}})
+				}
+			}
+		}
+	}
+	if dials > fleet*fewMet {
+		t.Errorf("%d connections from %d gateways, at most %d wanted", dials, fleet, fleet*fewMet)
+	}
+	for n, c := range perNode {
+		if mean := fleet * fewMet / set.Shards; c > 3*mean {
+			t.Errorf("node %d got %d connections, the mean is %d", n, c, mean)
+		}
+	}
+}
+
+// TestALongRunKeepsTheTables: 40 minutes with a new volume, node and piece of data every 100 ms. What is kept is
+// bounded by the last minute and a quarter, and by what is out.
+func TestALongRunKeepsTheTables(t *testing.T) {
+	set := testSettings()
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	s.Step(now, []Event{fleetNodes(2)})
+	last, attempts := NodeID(0), map[RequestID]int{}
+	for k := range 40 * 60 * 10 {
+		now += 100 * ms
+		n := NodeID(10 + k)
+		news := NodeList{Scope: Patch, Nodes: []Node{{ID: n, Shard: 0}, {ID: last, Shard: 0, State: Gone}}}
+		last = n
+		class := []string{"read", "bulk", "once"}[k%3]
+		a := Arrival{ID: RequestID(k + 1), Class: class, Plan: set.Plans[k%4].Name, Volume: VolumeID(k), Key: uint64(k),
+			TTL: time.Second, Units: 2, Shard: k % 2, Hosts: 1}
+		for todo := s.Step(now, []Event{news, a, Wake{}}); len(todo) > 0; todo = todo[1:] {
+			if a, ok := todo[0].(Send); ok {
+				status := []Status{OK, OK, Error, Reset, TimedOut}[k%5]
+				todo = append(todo, s.Step(now+5*ms, []Event{Outcome{ID: a.ID, Attempt: attempts[a.ID], Node: a.Node,
+					Status: status, Latency: 5 * ms, Terminal: status == OK}})...)
+				attempts[a.ID]++
+			}
+		}
+		flows := 0
+		for _, sh := range s.shards {
+			flows += len(sh.flows)
+		}
+		most := int((idleVolume + idleVolume/4) / (100 * ms))
+		if len(s.volumes) > most+1 || len(s.nodes) > 4 || len(s.reqs) > 20 || len(s.expiries) > 20 || flows > 100 ||
+			len(s.turns) > 100 {
+			t.Fatalf("after %v: %d volumes, %d nodes, %d requests, %d expiries, %d flows, %d turns", now-time.Hour,
+				len(s.volumes), len(s.nodes), len(s.reqs), len(s.expiries), flows, len(s.turns))
+		}
+	}
+	for k := range 20 {
+		s.Step(now+time.Duration(k)*time.Second, []Event{Wake{}})
+	}
+	if len(s.reqs) != 0 || len(s.expiries) != 0 {
+		t.Errorf("%d requests, %d expiries at the end", len(s.reqs), len(s.expiries))
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -171,8 +171,8 @@
 	return s.out
 }
 
-// forget drops the books of volumes that have long been idle. With the limit full again they say what new
-// ones would; kept, a client that names ever new volumes would fill the memory.
+// forget drops the turns of keys that have rested, and the books of volumes that have long been idle. With the
+// limit full again they say what new ones would; kept, a client that names ever new volumes would fill the memory.
 func (s *Scheduler) forget() {
 	if s.now-s.forgotAt < idleVolume/4 {
 		return
@@ -183,6 +183,11 @@
 			delete(s.volumes, id)
 		}
 	}
+	for key, t := range s.turns {
+		if len(t.queue) == 0 && s.now >= t.rest { // it was left while it rested
+			delete(s.turns, key)
+		}
+	}
 }
 
 // do records an action.
@@ -278,10 +283,10 @@
 // allCalls is how long discovery may take to answer every gateway in turn.
 func (s *Scheduler) allCalls() time.Duration { return time.Duration(s.set.Siblings) * listCall }
 
-// askLater draws the time of the next call from all of wait, and at first from as long as discovery may take to
-// answer all gateways, if that is not too late: without a call for AskWithin a gateway counts as told all the
-// same. It guards against a fleet whose calls fail together, come again together and fail again: those that
-// discovery gave up on have cost it as much as others.
+// askLater draws the time of the next call from all of wait, and at first from as long as discovery may take
+// to answer all gateways, if that is not too late: without a call for AskWithin a gateway counts as told all
+// the same. It guards against a fleet whose calls fail together, come again together and fail again: those
+// that discovery gave up on have cost it as much as others.
 func (s *Scheduler) askLater(wait time.Duration) {
 	s.askWait = max(wait, s.set.AskWithin/32, min(s.allCalls(), s.set.AskWithin/2), s.set.Tick)
 	s.askAgain = s.now + time.Duration(s.rnd.Float64()*float64(s.askWait))
@@ -734,7 +739,7 @@
 	}
 }
 
-// curtail moves the ends of all requests that have longer to where the gateway ends. It guards against requests
+// curtail moves the ends of all requests that have longer to where the gateway ends. It guards against those
 // that were taken before and are out for longer than that: their clients would get no answer.
 func (s *Scheduler) curtail(at time.Duration) {
 	s.endsAt = at
