--- a/scheduler.go
+++ b/scheduler.go
@@ -171,8 +171,9 @@
 	return s.out
 }
 
-// forget drops the turns of keys that have rested, and the books of volumes that have long been idle. With the
-// limit full again they say what new ones would; kept, a client that names ever new volumes would fill the memory.
+// forget drops the turns of keys that have rested, and the books of volumes that have long been idle. With
+// the limit full again they say what new ones would; kept, a client that names ever new volumes would fill
+// the memory.
 func (s *Scheduler) forget() {
 	if s.now-s.forgotAt < idleVolume/4 {
 		return
