See in one moment with the bytes of a node whether a request awaits them

In it a request got "old", bytes that had come before it was written, as its answer: served with what no node made for it.

At fault: conn.Read read from the socket and took the lock after that. A Write in between found nothing pending, since the bytes had been taken, and set itself as awaited; the bytes then counted as its answer. Ruled out: pending, which sees what is still in the socket, and the framing of the first answer, which was whole.

Now the bytes are taken under the lock that Write takes (RawConn.Read, without waiting there).

--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -202,25 +204,66 @@
 	return yes || err != nil
 }
 
+// take reads from the connection and sees in the same moment, under mu, whether a request awaits what came. Seen a
+// moment later, a request that went out in between would get for its answer what had come before it.
+func (c *conn) take(p []byte) (n int, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return c.Conn.Read(p)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	ended := raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for {
+			if n, err = syscall.Read(int(fd), p); err != syscall.EINTR {
+				break
+			}
+		}
+		if n > 0 {
+			c.unasked()
+		}
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case ended != nil:
+		return 0, ended
+	case err != nil:
+		return 0, os.NewSyscallError("read", err)
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// unasked spoils a connection on which something came that no request awaits. c.mu is held.
+func (c *conn) unasked() {
+	if c.answer == nil && !c.spoilt {
+		c.back.metrics.Add("node_surplus", 1)
+		c.spoilt = true
+	}
+}
+
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.take(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.try.Load()
 	if err != nil && t != nil && !c.spoilt {
 		t.broke.Store(true)
 	}
+	if n > 0 {
+		c.unasked()
+	}
 	if n == 0 || c.spoilt {
 		if c.spoilt {
 			n, err = 0, errSpoilt
 		}
 		return n, err
 	}
-	if c.answer == nil {
-		c.back.metrics.Add("node_surplus", 1)
-		c.spoilt = true
-		return 0, errSpoilt
-	}
 	mine, whole, bad := c.answer.feed(p[:n])
 	switch {
 	case bad != nil:
