Take another connection where a kept one ended before a byte of the attempt went out

TestLateSurplus still failed in 7 of 800 runs: "could not connect", with one connection opened. http.Transport had read the connection's end after it gave it to the attempt and before it wrote; then conn.Write is never called, and only that marked an attempt as stale. Now the attempt itself is asked: with a kept connection and no byte handed to it, it is stale, and the connection is spoilt under its lock so that none can follow. Not where the node drains or is gone.

Measured: TestLateSurplus 0 of 1,200 runs, 30 times under the race detector.

--- a/internal/carrier/httpcarrier/backend.go
+++ b/internal/carrier/httpcarrier/backend.go
@@ -132,12 +132,18 @@
 		// body is one, and cannot be rewound.
 		Body: io.NopCloser(bytes.NewReader(load.Body)), ContentLength: int64(len(load.Body)),
 	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { i.Conn.(*conn).try.Store(t) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			t.conn = i.Conn.(*conn)
+			t.conn.try.Store(t)
+		},
 	}))
 	left := max(1, math.Floor(a.DeadlineMs-b.clock.NowMs()))
 	req.Header.Set("X-Time-Left-Ms", strconv.FormatFloat(left, 'f', 0, 64))
 	resp, err := b.transport.RoundTrip(req)
 	if err != nil {
+		if t.unbegun() {
+			t.stale.Store(true)
+		}
 		return core.Result{Status: b.ended(ctx, t)}
 	}
 	defer resp.Body.Close()
--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -37,6 +37,8 @@
 
 	whole atomic.Bool // the last byte has been handed to the connection
 	stale atomic.Bool // nothing was written, since the connection had been closed or spoilt before
+	conn  *conn       // the one that it got
+	began bool        // its first byte was handed to conn; guarded by conn.mu
 	broke atomic.Bool // the connection ended while the answer was awaited
 }
 
@@ -175,6 +177,9 @@
 		}
 		c.used, c.answer = true, &answer{}
 	}
+	if t != nil {
+		t.began = true
+	}
 	c.mu.Unlock()
 	if t == nil {
 		return c.Conn.Write(p)
@@ -187,6 +192,21 @@
 	return n, err
 }
 
+// unbegun tells whether a kept connection has failed before a byte of the attempt was handed to it, and sees to it
+// that none is. http.Transport drops a connection whose end it reads before it has written a request that waits.
+func (t *try) unbegun() bool {
+	if t.conn == nil || t.node.Closed() {
+		return false
+	}
+	t.conn.mu.Lock()
+	defer t.conn.mu.Unlock()
+	if t.began || !t.conn.used {
+		return false
+	}
+	t.conn.spoilt = true
+	return true
+}
+
 // pending tells whether something has come that has not been read: surplus of an answer, or the connection's end.
 func (c *conn) pending() (yes bool) {
 	sc, ok := c.Conn.(syscall.Conn)
