Follow the pushed node list from the start, and judge lists that fall back

Ruled out: the module (it closes a node at once when told), the carrier (it checks each send against the list). Lines at fault: Gateway.Start opened the watch only from loop.Watch, which the module calls by Subscribe, which it does only under AskList. Where the list is pushed nobody ever connected to the machine's agent.

Change: discovery.Watcher.Follow keeps a watch open from the start to the end, behind a Move as well: at once when one that held has ended, else after 10 ms doubling to 160. That is duty, and stands apart from Start, which the module decides on. An agent that is silent, spoilt, away, or back again is served; news of an older version, as an agent that died brings them, opens nothing that has been closed since and empties nothing, and after 6 s (the time within which all counts as told) the whole list is asked for anew: internal/decide/nodelist, pure, with a model. A call of an asked discovery is unchanged but for the latter.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,9 @@
 // Package discovery keeps one watch on the node list open and decodes what it tells.
+//
+// Where the list is asked for, discovery is one service for all gateways: the decision module decides when a watch is
+// opened (Start), since calls that fail together and come again together would fail again. Where it is pushed, an
+// agent on this machine holds it and answers at no cost, and all that it has counts as told to this gateway: there is
+// nothing to decide, and the watch is kept open from the start to the end (Follow).
 package discovery
 
 import (
@@ -19,6 +24,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
+	"gaugerelay/internal/decide/nodelist"
 	"gaugerelay/internal/metrics"
 )
 
@@ -26,12 +32,20 @@
 	maxLine  = 1 << 20 // bytes of one object of the watch; the largest fleet's whole list takes a few KiB
 	answerMs = 3000    // a call that has brought no first object by then has failed
 	silentMs = 7000    // a watch sends at least an empty line every 2 s: without one for so long it is dead
+
+	// The watch on this machine's agent is opened again at once, then after a pause that doubles in these bounds
+	// until the agent says something. The longest is small beside the time that a gateway has to stop sending to a
+	// node that drains, which counts from when the agent is told.
+	againMs     = 10
+	againMostMs = 160
 )
 
 var states = map[string]policy.NodeState{
 	"Ready": policy.Live, "Terminating": policy.Draining, "Gone": policy.Gone,
 }
 
+var errAnew = errors.New("its versions have begun anew")
+
 // Decode reads a list or a change. Bad entries are left out and counted. A state of a later protocol is read
 // as draining: known, but not to be sent to.
 func Decode(v *fastjson.Value) (l core.List, bad int) {
@@ -62,26 +76,49 @@
 type Watcher struct {
 	Clock   clock.Clock
 	Metrics *metrics.Set
-	// Tell takes each change; a Broken list tells that a watch failed or ended. When to ask again is not
-	// decided here: the module backs off with jitter.
+	// Tell takes each change. A Broken list tells that a watch that was started has failed or ended; when to ask
+	// again is not decided here: the module backs off with jitter.
 	Tell func(core.List)
 
 	client *http.Client
 
 	mu      sync.Mutex
 	addr    string
-	version uint64        // told last from addr
-	open    bool          // a watch is open or on its way
-	moving  bool          // Move starts the next watch
-	end     func()        // gives up the latest watch
-	ended   chan struct{} // closed once that has told its last
+	version uint64         // told last from addr
+	list    *nodelist.List // what of the news counts
+	follow  bool           // watches are taken up again when they end
+	open    bool           // a watch is open or on its way
+	moving  bool           // Move starts the next watch
+	end     func()         // gives up the latest watch
+	ended   chan struct{}  // closed once that has told its last
 }
 
-// New returns a watcher that resumes after a version.
-func New(addr string, version uint64, c clock.Clock, m *metrics.Set, tell func(core.List)) *Watcher {
-	return &Watcher{addr: addr, Clock: c, Metrics: m, Tell: tell, version: version,
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
-			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}}
+// New returns a watcher that resumes after the list known. dial is the machine's if nil.
+func New(addr string, known core.List, c clock.Clock, m *metrics.Set, tell func(core.List),
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Watcher {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	}
+	return &Watcher{addr: addr, Clock: c, Metrics: m, Tell: tell, version: known.Version, list: nodelist.New(news(known)),
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: dial,
+			MaxResponseHeaderBytes: 16 << 10}}}
+}
+
+// news is a list as nodelist judges it.
+func news(l core.List) nodelist.News {
+	n := nodelist.News{Version: l.Version, Whole: l.Scope != policy.Patch, Entries: make([]nodelist.Entry, len(l.Nodes))}
+	for i, e := range l.Nodes {
+		n.Entries[i] = nodelist.Entry{Name: e.Name, Live: e.State == policy.Live, Gone: e.State == policy.Gone, StartedMs: e.StartedMs}
+	}
+	return n
+}
+
+// Follow opens the watch and takes it up again whenever it ends, until ctx does; also behind a Move.
+func (w *Watcher) Follow(ctx context.Context) {
+	w.mu.Lock()
+	w.follow = true
+	w.mu.Unlock()
+	w.Start(ctx)
 }
 
 // Start opens the watch unless one is open or on its way: asking twice would only load discovery.
@@ -114,6 +151,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.addr, w.version, w.moving = addr, 0, false
+	w.list.Reset()
 	w.start(ctx)
 }
 
@@ -122,10 +160,14 @@
 	watching, end := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	w.open, w.end, w.ended = true, end, ended
-	go func(addr string, after uint64) {
+	go func() {
 		defer close(ended)
 		defer end()
-		err := w.watch(watching, addr, after)
+		if w.follow {
+			w.followed(watching)
+			return
+		}
+		err := w.watch(watching, func() {})
 		w.mu.Lock()
 		w.open = false
 		known := w.moving || ctx.Err() != nil
@@ -135,11 +177,53 @@
 			log.Printf("discovery: watch ended: %v", err)
 			w.Tell(core.List{Scope: policy.Broken})
 		}
-	}(w.addr, w.version)
+	}()
 }
 
-// watch reads one watch to its end.
-func (w *Watcher) watch(ctx context.Context, addr string, after uint64) error {
+// followed keeps a watch open until ctx ends. One that held is taken up again at once; an agent that is not there, or
+// ends each watch as soon as it is open, costs no more than a call in againMostMs, and a line in the log at its going
+// and one at its return.
+func (w *Watcher) followed(ctx context.Context) {
+	pause, away := 0.0, false
+	for ctx.Err() == nil {
+		began := w.Clock.NowMs()
+		err := w.watch(ctx, func() {
+			if away {
+				away = false
+				log.Printf("discovery: the agent is back")
+			}
+		})
+		if ctx.Err() != nil {
+			break
+		}
+		w.Metrics.Add("watch_broken", 1)
+		if !away {
+			away = true
+			log.Printf("discovery: the agent is away: %v", err)
+		}
+		if w.Clock.NowMs()-began >= againMostMs {
+			pause = 0
+			continue
+		}
+		pause = min(max(2*pause, againMs), againMostMs)
+		again := make(chan struct{})
+		stop := w.Clock.AfterFunc(pause, func() { close(again) })
+		select {
+		case <-again:
+		case <-ctx.Done():
+		}
+		stop()
+	}
+	w.mu.Lock()
+	w.open = false
+	w.mu.Unlock()
+}
+
+// watch reads one watch to its end. held is called at each line.
+func (w *Watcher) watch(ctx context.Context, held func()) error {
+	w.mu.Lock()
+	addr, after, follow := w.addr, w.version, w.follow
+	w.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := func() {}
@@ -162,11 +246,15 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
+	if follow { // it is there; while discovery is down it has nothing to say
+		arm(silentMs)
+	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
 	var parser fastjson.Parser
 	for lines.Scan() {
 		arm(silentMs)
+		held()
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
@@ -177,19 +265,48 @@
 			return errors.New("a line that is no JSON object")
 		}
 		l, bad := Decode(v)
+		unnumbered := !v.Exists("version") // on one watch news come in order all the same
 		w.Metrics.Add("discovery_bad_entries", int64(bad))
 		w.Metrics.Add("discovery_lines", int64(len(l.Nodes)))
 		w.mu.Lock()
-		w.version = l.Version
 		stale := w.moving
+		var d nodelist.Decision
+		if !stale {
+			if unnumbered {
+				l.Version = w.version
+			}
+			w.version = l.Version
+			if d = w.list.Take(w.Clock.NowMs(), news(l)); d.Anew {
+				w.version = 0
+			}
+		}
 		w.mu.Unlock()
 		if stale {
 			return errors.New("moved")
 		}
-		w.Tell(l)
+		if d.Anew {
+			return errAnew
+		}
+		if len(d.Take) < len(l.Nodes) {
+			w.Metrics.Add("discovery_outdated", int64(len(l.Nodes)-len(d.Take)))
+		}
+		w.Tell(counts(l, d))
 	}
 	if err := context.Cause(ctx); err != nil {
 		return err
 	}
 	return errors.Join(errors.New("closed"), lines.Err())
 }
+
+// counts is what of a list counts.
+func counts(l core.List, d nodelist.Decision) core.List {
+	nodes := make([]*core.Node, len(d.Take))
+	for i, at := range d.Take {
+		nodes[i] = l.Nodes[at]
+	}
+	scope := policy.Patch
+	if d.Whole {
+		scope = policy.Whole
+	}
+	return core.List{Version: l.Version, Scope: scope, Nodes: nodes}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -73,7 +73,7 @@
 	defer close(feed)
 	told := make(chan core.List, 10)
 	m, now := metrics.New(), clock.NewManual(1e12)
-	w := New(strings.TrimPrefix(srv.URL, "http://"), 41, now, m, func(l core.List) { told <- l })
+	w := New(strings.TrimPrefix(srv.URL, "http://"), core.List{Version: 41}, now, m, func(l core.List) { told <- l }, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	want := func(what string, scope policy.ListScope, version uint64) {
@@ -120,7 +120,7 @@
 func TestRefusedWatch(t *testing.T) {
 	srv := httptest.NewServer(http.NotFoundHandler())
 	told := make(chan core.List, 1)
-	w := New(strings.TrimPrefix(srv.URL, "http://"), 0, clock.NewManual(0), metrics.New(), func(l core.List) { told <- l })
+	w := New(strings.TrimPrefix(srv.URL, "http://"), core.List{}, clock.NewManual(0), metrics.New(), func(l core.List) { told <- l }, nil)
 	for range 2 { // an error, then nobody there
 		w.Start(context.Background())
 		if l := <-told; l.Scope != policy.Broken {
--- /dev/null
+++ b/internal/discovery/follow_test.go
@@ -0,0 +1,151 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
+	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/standin/memnet"
+)
+
+// agent is this machine's agent: it tells the lines that the test gives it on the watch that is open.
+type agent struct {
+	srv   *http.Server
+	feed  chan string
+	asked []string // what was asked for, and when
+	began time.Time
+}
+
+func newAgent(t *testing.T, n *memnet.Net, addr string) *agent {
+	ln, err := n.Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &agent{feed: make(chan string), began: time.Now()}
+	a.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.asked = append(a.asked, fmt.Sprintf("%s at %d", r.URL.Query().Get("after"), time.Since(a.began).Milliseconds()))
+		w.(http.Flusher).Flush()
+		for {
+			select {
+			case line := <-a.feed:
+				io.WriteString(w, line+"\n")
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})}
+	go a.srv.Serve(ln)
+	return a
+}
+
+// says tells a line and waits until all has come of it that comes at once.
+func (a *agent) says(line string) {
+	a.feed <- line
+	synctest.Wait()
+}
+
+func (a *agent) wasAsked(t *testing.T, want ...string) {
+	t.Helper()
+	synctest.Wait()
+	if !slices.Equal(a.asked, want) {
+		t.Errorf("asked for %q, want %q", a.asked, want)
+	}
+	a.asked, a.began = nil, time.Now()
+}
+
+// The machine's own agent is followed from the start on, without anybody asking for it: when it is not there yet, when
+// it ends a watch, says nothing or makes no sense, when it has died and comes back with less than it had told, and
+// behind a move. None of that is a broken list for the module.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := &memnet.Net{}
+		var told []string
+		m := metrics.New()
+		w := New("127.0.0.1:1", core.List{Version: 41, Scope: policy.Stale, Nodes: []*core.Node{{Name: "s-1"}, {Name: "s-2"}}},
+			clock.NewSystem(), m, func(l core.List) {
+				if l.Scope == policy.Broken {
+					t.Error("a broken list")
+				}
+				told = append(told, fmt.Sprintf("%d: %d, whole %v", l.Version, len(l.Nodes), l.Scope == policy.Whole))
+			}, n.Dial)
+		w.Follow(ctx)
+		time.Sleep(80 * time.Millisecond)
+		a := newAgent(t, n, "127.0.0.1:1")
+		time.Sleep(silentMs * time.Millisecond / 2)
+		a.wasAsked(t, "41 at 70")
+		a.says(`{"version":43,"servers":[` + fmt.Sprintf(entry, "Terminating") + `]}`)
+		a.says(`{"servers":[` + fmt.Sprintf(entry, "Terminating") + `]}`)
+		a.wasAsked(t)
+		a.says(`nonsense`)
+		a.wasAsked(t, "43 at 0")
+		time.Sleep(silentMs*time.Millisecond + 1)
+		a.wasAsked(t, "43 at 7000")
+		a.says(`{"version":0,"full":true,"servers":[]}`)
+		a.says(`{"version":40,"full":true,"servers":[` + fmt.Sprintf(entry, "Ready") + `]}`)
+		time.Sleep(6 * time.Second)
+		a.wasAsked(t)
+		a.says(`{"version":40,"servers":[]}`)
+		a.wasAsked(t, "0 at 0")
+		a.says(`{"version":40,"full":true,"servers":[` + fmt.Sprintf(entry, "Ready") + `]}`)
+		a.srv.Close()
+		time.Sleep(time.Second)
+		b := newAgent(t, n, "127.0.0.1:2")
+		w.Move(ctx, "127.0.0.1:2")
+		b.wasAsked(t, "0 at 0")
+		b.says(`{"version":2,"full":true,"servers":[]}`)
+		time.Sleep(silentMs*time.Millisecond + 1)
+		b.wasAsked(t, "2 at 7000")
+		if want := []string{"43: 1, whole false", "43: 1, whole false", "0: 0, whole false", "40: 0, whole false",
+			"40: 1, whole true", "2: 0, whole true"}; !slices.Equal(told, want) {
+			t.Errorf("told %q, want %q", told, want)
+		}
+		if m.Get("discovery_outdated") != 1 || m.Get("discovery_bad_lines") != 1 {
+			t.Errorf("%d entries outdated, %d bad lines", m.Get("discovery_outdated"), m.Get("discovery_bad_lines"))
+		}
+		cancel()
+		b.srv.Close()
+		synctest.Wait()
+	})
+}
+
+// Calls of an agent that is away stay bounded: 10, 20, 40, 80, then 160 ms apart; also where it takes each connection
+// and ends it.
+func TestFollowBacksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var apart []int64
+		last := time.Now()
+		w := New("127.0.0.1:1", core.List{}, clock.NewSystem(), metrics.New(), func(core.List) { t.Error("told") },
+			func(context.Context, string, string) (net.Conn, error) {
+				apart = append(apart, time.Since(last).Milliseconds())
+				last = time.Now()
+				if len(apart)%2 == 0 {
+					a, b := net.Pipe()
+					b.Close()
+					return a, nil
+				}
+				return nil, errors.New("refused")
+			})
+		w.Follow(ctx)
+		time.Sleep(700 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		if want := []int64{0, 10, 20, 40, 80, 160, 160, 160}; !slices.Equal(apart, want) {
+			t.Errorf("calls %v ms apart, want %v", apart, want)
+		}
+	})
+}
--- a/internal/discovery/move_test.go
+++ b/internal/discovery/move_test.go
@@ -43,7 +43,7 @@
 	newAddr, newFeed, newAsked, _ := service(t)
 	told := make(chan core.List, 10)
 	m := metrics.New()
-	w := New(oldAddr, 41, clock.NewManual(1e12), m, func(l core.List) { told <- l })
+	w := New(oldAddr, core.List{Version: 41}, clock.NewManual(1e12), m, func(l core.List) { told <- l }, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w.Start(ctx)
@@ -75,13 +75,13 @@
 	oldAddr, oldFeed, _, _ := service(t)
 	newAddr, newFeed, newAsked, _ := service(t)
 	telling, release, told := make(chan bool), make(chan bool), make(chan uint64, 4)
-	w := New(oldAddr, 0, clock.NewManual(1e12), metrics.New(), func(l core.List) {
+	w := New(oldAddr, core.List{}, clock.NewManual(1e12), metrics.New(), func(l core.List) {
 		if l.Version == 43 {
 			telling <- true
 			<-release
 		}
 		told <- l.Version
-	})
+	}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w.Start(ctx)
@@ -104,7 +104,7 @@
 // Where nothing was watched yet, or the watch has broken, a move is a start.
 func TestMoveWithoutAWatch(t *testing.T) {
 	addr, _, asked, _ := service(t)
-	w := New("127.0.0.1:1", 5, clock.NewManual(1e12), metrics.New(), func(core.List) {})
+	w := New("127.0.0.1:1", core.List{Version: 5}, clock.NewManual(1e12), metrics.New(), func(core.List) {}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w.Move(ctx, addr)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 	g.loop = loop.New(scheduler, c, g.Metrics)
 	g.back = httpcarrier.New(httpcarrier.Options{ConnectMs: cfg.ConnectMs, ConnIdleMs: cfg.ConnIdleMs,
 		MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields, Dial: network.Dial}, c, g.Metrics, g.loop)
-	g.watcher = discovery.New(cfg.Discovery, cfg.Known.Version, c, g.Metrics, g.loop.Nodes)
+	g.watcher = discovery.New(cfg.Discovery, cfg.Known, c, g.Metrics, g.loop.Nodes, network.Dial)
 	g.parts = append(g.parts, newPlatform(g))
 	if edge.Files != nil {
 		g.parts = append(g.parts, newFiles(g, edge.Files, edge.Devices))
@@ -129,6 +129,9 @@
 	}
 	go g.loop.Run(g.ctx)
 	g.loop.Nodes(g.cfg.Known)
+	if !g.cfg.Settings.AskList { // the module asks for nothing then, and what the agent has counts as told
+		g.watcher.Follow(g.ctx)
+	}
 	g.Metrics.Add("discovery_bad_entries", int64(g.cfg.KnownBad))
 	for i, p := range g.parts {
 		if err := p.start(g.ctx); err != nil {
