Hold requests closer to their aim inside a reserve than beyond it

Cause: a try is worth its chance to be in time. Inside a reserve it pays until that falls under FairWorth, which a sure answer beyond one earns. The chance of an answer within t is 1-exp(-t/L) where times scatter as by chance, so the part of L follows from the setting; it stays within half and all of what holds beyond reserves.

--- a/module_test.go
+++ b/module_test.go
@@ -247,6 +247,35 @@
 	}
 }
 
+// Held behind a node that is busy, a request is given up when what is left of its aim is no longer worth a try: inside
+// its reserve that is later than beyond it, and how much later follows from what units beyond reserves are worth.
+func TestHeldCloserToTheAimInsideTheReserve(t *testing.T) {
+	for _, c := range []struct {
+		fairWorth      float64
+		inside, beyond time.Duration // of an L of 100 ms
+	}{{0.3, 36 * ms, 60 * ms}, {0, 30 * ms, 60 * ms}, {0.9, 60 * ms, 60 * ms}} {
+		g := newGate(t, func(s *Settings) { s.FairWorth = c.fairWorth })
+		inside, beyond := g.ask("read", "kept", 1, 2, 1), g.ask("read", "gold", 2, 2, 2)
+		given := map[RequestID]time.Duration{}
+		for began := g.now; len(given) < 2 && g.now < began+time.Second; g.now += ms {
+			n := g.s.nodes[1]
+			n.latency, n.sampledAt, n.holdUntil = 100*ms, g.now, g.now+time.Second
+			var events []Event
+			if g.now == began {
+				events = []Event{inside, beyond}
+			}
+			for _, id := range refusalsOf(g.step(events...)) {
+				given[id] = began + 400*ms - g.now
+			}
+		}
+		for id, want := range map[RequestID]time.Duration{inside.ID: c.inside, beyond.ID: c.beyond} {
+			if got := given[id]; got > want || got < want-3*ms {
+				t.Errorf("worth %v: request %d given up %v before its aim, want %v", c.fairWorth, id, got, want)
+			}
+		}
+	}
+}
+
 func TestLimitStartsEmptyAfterAStart(t *testing.T) {
 	g := newGate(t, nil)
 	var events []Event
--- a/scheduler.go
+++ b/scheduler.go
@@ -28,7 +28,7 @@
 	slowPart      = 2.5                   // the window falls under one request from this many times T on
 	sparePart     = 1.5                   // and the spare window
 	growth        = 4.0                   // doublings in halfLife of a window under one while nothing is out
-	patience      = 0.6                   // an answer is expected within this many times L
+	patience      = 0.6                   // a held request goes out while it has this many times L
 	patienceLong  = 4                     // an answer owed for this many times T and L is missing
 	coldPart      = 1.2                   // of FallMultiple: what of the usual demand goes to a cold node
 	coldEven      = 0.3                   // of ColdBears: what it is sent without any
@@ -53,6 +53,7 @@
 	plans      map[string]*Plan
 	longest    map[*Class]time.Duration // the longest TTL seen
 	threshold  time.Duration            // T
+	patienceIn float64                  // patience inside reserves
 	meanWeight float64
 	bestWorth  float64
 	opened     bool
@@ -99,6 +100,9 @@
 			s.threshold = aim
 		}
 	}
+	// Inside its reserve a request is worth a try for as long as that is worth more than a sure answer beyond one:
+	// where answers take L in the mean, as by chance, one comes within t by 1−exp(−t/L), which is FairWorth here.
+	s.patienceIn = min(max(-math.Log1p(-min(set.FairWorth, 0.5)), patience/2), patience)
 	if len(set.Plans) == 0 {
 		s.set.Plans = []Plan{{Weight: 1, Pays: 1}}
 	}
@@ -452,9 +456,9 @@
 func (s *Scheduler) release(sh *shard) {
 	wait := s.threshold // how long an answer takes that is sent now
 	for i, n := range sh.nodes {
-		l := time.Duration(patience * float64(s.delay(n)))
+		l := s.delay(n)
 		if _, trial := s.silent(n); trial {
-			l = n.latency // else nothing would be held long enough to try it
+			l = time.Duration(float64(n.latency) / patience) // else nothing would be held long enough to try it
 		}
 		if i == 0 || l < wait {
 			wait = l
@@ -463,7 +467,7 @@
 	for _, n := range sh.nodes { // the warm one first; the next gets what that has no room for
 		s.sweep(n)
 		for {
-			f, r := s.pick(sh, n, s.now+wait)
+			f, r := s.pick(sh, n, wait)
 			if r == nil || !s.roomFor(n, r) {
 				break
 			}
@@ -471,7 +475,7 @@
 		}
 	}
 	for _, f := range sh.flows {
-		for len(f.held) > 0 && f.held[0].due < s.now+wait {
+		for len(f.held) > 0 && !s.inTime(f.held[0], wait) {
 			s.lastCall(f, f.held[0])
 		}
 	}
@@ -559,12 +563,21 @@
 	}
 }
 
-// pick chooses what leaves next of what is due from then on: reserved units, then the lowest start tag.
-func (s *Scheduler) pick(sh *shard, n *node, from time.Duration) (best *flow, bestReq *request) {
+// inTime tells whether a held request is worth a try where an answer takes wait.
+func (s *Scheduler) inTime(r *request, wait time.Duration) bool {
+	part := patience
+	if r.vol.reserved(s.now, r.Units) {
+		part = s.patienceIn
+	}
+	return r.due >= s.now+time.Duration(part*float64(wait))
+}
+
+// pick chooses what leaves next of what is in time: reserved units, then the lowest start tag.
+func (s *Scheduler) pick(sh *shard, n *node, wait time.Duration) (best *flow, bestReq *request) {
 	bestReserved := false
 	for _, f := range sh.flows {
 		i := slices.IndexFunc(f.held, func(r *request) bool {
-			return r.due >= from && s.now >= r.notBefore && s.mayGo(n, r)
+			return s.inTime(r, wait) && s.now >= r.notBefore && s.mayGo(n, r)
 		})
 		if i < 0 {
 			continue
