--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run soak show
+.PHONY: build test lint run soak show deployments
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -24,3 +24,11 @@
 SEED ?= 1
 soak: build
 	bin/gaugelab soak --seconds $(SECONDS) --seed $(SEED) $(SOAK)
+
+# Deployments drawn by seed, played in a bubble's time with the rules checked at the nodes and the clients.
+SEEDS ?= 200
+FROM ?= 1
+deployments:
+	@mkdir -p bin
+	@go test -count=1 -timeout 20m ./internal/standin/deployments -run TestDeployments -seeds $(SEEDS) -from $(FROM) -line $(CURDIR)/bin/deployments.txt; \
+	code=$$?; cat bin/deployments.txt; exit $$code
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -205,6 +205,8 @@
 	lastID policy.RequestID
 	lastNo policy.NodeID
 	listed bool
+	wakeAt time.Duration // as last asked for
+	woken  bool
 }
 
 // New returns a core round a module.
@@ -369,7 +371,25 @@
 }
 
 // Wake tells that a time asked for with Outside.WakeAt has come.
-func (c *Core) Wake() { c.events = append(c.events, policy.Wake{}) }
+func (c *Core) Wake() {
+	c.woken = true
+	c.events = append(c.events, policy.Wake{})
+}
+
+// roundOff is more than what a time loses on its way to a timer and back as float64 milliseconds since the epoch.
+const roundOff = time.Microsecond
+
+// now is the time of a step. A wake that comes for the time asked for never comes before it: seen a few hundred
+// nanoseconds early, for want of digits, it would be none to the module, which waits for that time and asks for no
+// other. Nothing would wake it any more, and what is held would stay until something else happens.
+func (c *Core) now(ms float64) time.Duration {
+	now := clock.Duration(ms)
+	if c.woken && now < c.wakeAt && c.wakeAt-now < roundOff {
+		now = c.wakeAt
+	}
+	c.woken = false
+	return now
+}
 
 // Step lets the module decide on all that came in since the last one, and carries it out.
 func (c *Core) Step(nowMs float64) {
@@ -378,7 +398,7 @@
 	}
 	events := c.events
 	c.events = nil
-	for _, a := range c.policy.Step(clock.Duration(nowMs), events) {
+	for _, a := range c.policy.Step(c.now(nowMs), events) {
 		switch a := a.(type) {
 		case policy.Send:
 			c.send(nowMs, a)
@@ -397,6 +417,7 @@
 				c.out.Probe(n)
 			}
 		case policy.WakeAt:
+			c.wakeAt = a.At
 			c.out.WakeAt(clock.Ms(a.At))
 		case policy.Log:
 			c.out.Log(a.Text)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -198,6 +198,53 @@
 }
 
 // A gateway is ready once it holds a list that can be used: known may be empty, and a watch may fail.
+// sleeper is a module that waits for one time and for nothing else, as the real one does.
+type sleeper struct {
+	at    time.Duration
+	awake bool
+}
+
+func (s *sleeper) Step(now time.Duration, events []policy.Event) []policy.Action {
+	if _, ok := events[0].(policy.Wake); ok {
+		s.awake = now >= s.at
+		return nil
+	}
+	return []policy.Action{policy.WakeAt{At: s.at}}
+}
+
+type alarm struct {
+	quiet
+	ms float64
+}
+
+func (a *alarm) WakeAt(ms float64) { a.ms = ms }
+
+// A time since the epoch loses some hundred nanoseconds as float64 milliseconds. A wake at the time that was asked
+// for is never seen as one too early; one that is too early by more stays so.
+func TestAWakeIsNeverEarlyByRounding(t *testing.T) {
+	rounded := 0
+	for ns := range time.Duration(2000) {
+		m, a := &sleeper{at: 1_796_000_000_123_456_789 + 7*ns}, &alarm{}
+		c := core.New(m, a)
+		c.Nodes(core.List{})
+		c.Step(1.796e12)
+		if time.Duration(a.ms*1e6) < m.at {
+			rounded++
+		}
+		if c.Wake(); ns%2 == 0 {
+			c.Step(a.ms)
+		} else {
+			c.Step(a.ms - 0.01)
+		}
+		if m.awake != (ns%2 == 0) {
+			t.Fatalf("asked for %d, at %v ms: awake %v", m.at, a.ms, m.awake)
+		}
+	}
+	if rounded == 0 {
+		t.Error("no time was rounded down")
+	}
+}
+
 func TestReady(t *testing.T) {
 	c := core.New(&script{}, &quiet{})
 	for _, l := range []core.List{{Scope: policy.Stale}, {Scope: policy.Broken}} {
