Bound what settings may leave out or make as large as they like

TestFiguresThatAreAbsent and TestFiguresAsLargeAsTheyCanBe fail without the mends, which are where each figure is read.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,13 @@
 	defaultSockets   = 1024
 )
 
+// What is as large as it can be. A time beyond 30 years is one that never ends; a count beyond a million would be
+// memory that no machine has.
+const (
+	mostMs    = 1e12
+	mostCount = 1 << 20
+)
+
 // Config is all that the program needs to know.
 type Config struct {
 	Name, Listen, Discovery string
@@ -115,7 +122,7 @@
 	c := &Config{
 		Name: r.str(v, "name"), Listen: r.str(v, "listen"), Discovery: r.str(v, "discovery"),
 		Cores: r.num(v, "limits", "cores"), MemoryMB: r.num(v, "limits", "memory_mb"),
-		Sockets: int(r.num(v, "limits", "sockets")),
+		Sockets: r.count(v, "limits", "sockets"),
 	}
 	c.fileDiscovery = c.Discovery
 	if seed := r.str(v, "seed"); seed != "" {
@@ -131,7 +138,7 @@
 	if s == nil || s.Type() != fastjson.TypeObject {
 		return nil, errors.New("settings is missing")
 	}
-	c.ConnIdleMs, c.ConnectMs = r.num(s, "Limits", "ConnIdleMs"), r.num(s, "Limits", "ConnectTimeoutMs")
+	c.ConnIdleMs, c.ConnectMs = min(r.num(s, "Limits", "ConnIdleMs"), mostMs), min(r.num(s, "Limits", "ConnectTimeoutMs"), mostMs)
 	if c.ConnIdleMs == 0 {
 		c.ConnIdleMs = defaultIdleMs
 	}
@@ -192,9 +199,20 @@
 	return b
 }
 
+// ms reads a time; as good as for ever is the longest that a time.Duration can be added to.
 func (r *reader) ms(v *fastjson.Value, path ...string) time.Duration {
 	path[len(path)-1] += "Ms"
-	return clock.Duration(r.num(v, path...))
+	return clock.Duration(min(r.num(v, path...), mostMs))
+}
+
+// count reads a whole number of things that there are.
+func (r *reader) count(v *fastjson.Value, path ...string) int {
+	n := r.num(v, path...)
+	if n > mostCount || n != math.Trunc(n) {
+		r.bad(path, fmt.Sprintf("a whole number up to %d", int(mostCount)))
+		return 0
+	}
+	return int(n)
 }
 
 var effects = map[string]policy.Effect{
@@ -233,12 +251,12 @@
 			LimitCap: r.num(p, "CapDepth"), LimitDebt: r.num(p, "CapSlack"),
 		})
 	}
-	s.Siblings, s.Shards = int(r.num(v, "Siblings")), int(r.num(v, "FamilyInfo", "NShards"))
+	s.Siblings, s.Shards = r.count(v, "Siblings"), r.count(v, "FamilyInfo", "NShards")
 	s.MeanUnits, s.MostUnits = r.num(v, "FamilyInfo", "MeanUnits"), r.num(v, "FamilyInfo", "MostUnits")
 	s.FairWorth, s.IdleWorth = r.num(v, "FamilyInfo", "FairWorth"), r.num(v, "FamilyInfo", "IdleWorth")
 	s.AskList = r.str(v, "Discovery") == "ask"
 	s.AskWithin = r.ms(v, "Invariants", "AskWithin")
-	s.MaxAttempts = int(r.num(v, "Limits", "AttemptsCap"))
+	s.MaxAttempts = r.count(v, "Limits", "AttemptsCap")
 	s.MayDuplicate, s.MayCancel = r.yes(v, "Limits", "MayDuplicate"), r.yes(v, "Limits", "Cancel")
 	s.MayProbe = r.yes(v, "Limits", "Probing")
 	if r.yes(v, "Limits", "RetryAfter") {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -75,6 +75,36 @@
 	}
 }
 
+// Times may be as good as for ever; a count that no machine could hold is told in one line.
+func TestFiguresAsLargeAsTheyCanBe(t *testing.T) {
+	for _, c := range []struct{ old, new, wrong string }{
+		{`"DedupWindowMs":3000`, `"DedupWindowMs":1e300`, ""},
+		{`"AskWithinMs":10000`, `"AskWithinMs":1e40`, ""},
+		{`"ConnIdleMs":30000`, `"ConnIdleMs":1e30`, ""},
+		{`"Siblings":3`, `"Siblings":1e300`, "Siblings"},
+		{`"NShards":10`, `"NShards":1e7`, "NShards"},
+		{`"AttemptsCap":3`, `"AttemptsCap":2.5`, "AttemptsCap"},
+		{`"sockets":1024`, `"sockets":1e18`, "sockets"},
+	} {
+		cfg, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if c.wrong != "" {
+			if err == nil || !strings.Contains(err.Error(), c.wrong) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%s: %v", c.new, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Errorf("%s: %v", c.new, err)
+			continue
+		}
+		s := cfg.Settings
+		if s.Classes[1].DedupWindow <= 0 || s.AskWithin <= 0 || cfg.ConnIdleMs > mostMs ||
+			time.Duration(2e18)+s.Classes[1].DedupWindow+s.AskWithin < time.Duration(2e18) {
+			t.Errorf("%s: %+v", c.new, s)
+		}
+	}
+}
+
 func TestKnownWithABadEntry(t *testing.T) {
 	c, err := Parse([]byte(strings.Replace(good, `"servers":[`, `"servers":[{"id":"x","cell":-3},`, 1)))
 	if err != nil || c.KnownBad != 1 || len(c.Known.Nodes) != 1 {
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -112,7 +112,7 @@
 			return
 		}
 		// Nothing of it has run, so a refusal is true to any class.
-		f.refuse(w, 250)
+		f.refuse(w, min(250, clock.Ms(f.Settings.MaxComeBack)))
 		return
 	}
 	late := make(chan struct{})
--- a/module_test.go
+++ b/module_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -136,6 +137,74 @@
 	}
 }
 
+// Figures that settings leave out, or that are as small as they can be, make no decision senseless.
+func TestFiguresThatAreAbsent(t *testing.T) {
+	cold := func(g *gate) (sends int) { // a node that has just started, asked for a request of each volume
+		g.step(NodeList{Scope: Whole, Nodes: []Node{{ID: 9, Shard: 0, StartedAt: g.now}}})
+		for range 100 {
+			a := g.ask("read", "gold", 1+g.volume(), 2, 1)
+			for range sendsOf(append(g.step(a), g.after(20*ms)...)) {
+				sends++
+				g.step(Outcome{ID: a.ID, Node: 9, Status: OK, Latency: 5 * ms, Terminal: true})
+			}
+		}
+		return sends
+	}
+	for name, c := range map[string]func(*Settings){
+		"start capacity":       func(s *Settings) { s.StartCapacity = 0 },
+		"the cold rule's time": func(s *Settings) { s.FallWindow = 0 },
+		"what cold nodes bear": func(s *Settings) { s.ColdBears, s.StartCapacity = 0, 0 },
+		"worth, classes'": func(s *Settings) {
+			for i := range s.Classes {
+				s.Classes[i].Worth = 0
+			}
+		},
+		"worth, plans'": func(s *Settings) {
+			for i := range s.Plans {
+				s.Plans[i].Pays = 0
+			}
+		},
+		"sizes":                 func(s *Settings) { s.MeanUnits, s.MostUnits, s.Tick = 0, 0, 0 },
+		"worth beyond reserves": func(s *Settings) { s.FairWorth, s.IdleWorth = 0, 0 },
+	} {
+		g := newGate(t, c)
+		if n := cold(g); n < 2 {
+			t.Errorf("%s: %d of 100 sent", name, n)
+		}
+		for _, v := range g.s.volumes {
+			if f := g.s.shards[0].byVol; len(f) > 0 && math.IsNaN(g.s.shards[0].vtime+v.reserve.level) {
+				t.Errorf("%s: a tag or level is no number", name)
+			}
+		}
+	}
+	// Without a bound on how long a gateway may go without asking, calls are spread over as long as all take.
+	first := map[time.Duration]bool{}
+	for seed := range uint64(20) {
+		set := testSettings()
+		set.AskList, set.AskWithin, set.Siblings = true, 0, 300
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(time.Hour, []Event{NodeList{Scope: Stale}})
+		first[(s.askAgain - time.Hour).Round(time.Second)] = true
+	}
+	if len(first) < 8 {
+		t.Errorf("20 gateways of 300 call within %d different seconds", len(first))
+	}
+	// A deployment with more shards than any known one has all of them served.
+	g := newGate(t, func(s *Settings) { s.Shards = 6000 })
+	g.step(NodeList{Scope: Whole, Nodes: []Node{{ID: 9, Shard: 5999}, {ID: 10, Shard: 6000}}})
+	a := g.ask("read", "gold", 1, 2, 1)
+	a.Shard = 5999
+	if got := sendsOf(g.step(a)); len(got) != 1 || len(g.s.shards) != 6000 {
+		t.Errorf("sent %v, %d shards", got, len(g.s.shards))
+	}
+}
+
+// volume is one of seven, another for each request.
+func (g *gate) volume() int { return int(g.id % 7) }
+
 func TestOddEventsAreIgnoredOrRefused(t *testing.T) {
 	g := newGate(t, nil)
 	g.step(Outcome{ID: 99, Status: OK}, Dropped{ID: 99}, Started{ID: 99}, Probed{Node: 77}, Wake{})
--- a/scheduler.go
+++ b/scheduler.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -37,7 +36,7 @@
 	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
 	listCall      = 6 * time.Second / 100 // a call of discovery may take it so long, and all gateways call
-	mostShards    = 1 << 12               // a list that names a shard beyond is in error
+	mostShards    = 1 << 12               // a list that names a shard beyond is in error, and beyond the settings'
 )
 
 // reserved tells whether units are inside this gateway's part of the reserve now.
@@ -82,19 +81,16 @@
 
 // New returns a scheduler for one gateway, or an error if the settings cannot be used.
 func New(set Settings, seed uint64) (*Scheduler, error) {
+	set, err := set.usable()
+	if err != nil {
+		return nil, err
+	}
 	s := &Scheduler{set: set, rnd: rand.New(rand.NewPCG(seed, 1)), classes: map[string]*Class{},
 		plans: map[string]*Plan{}, longest: map[*Class]time.Duration{},
 		reqs: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
 		nodes: map[NodeID]*node{}, turns: map[uint64]*turn{}}
-	if len(set.Classes) == 0 || set.Siblings < 1 || set.MaxAttempts < 1 || set.Shards < 0 {
-		return nil, fmt.Errorf("gaugerelay: %d classes, %d siblings, %d attempts, %d shards",
-			len(set.Classes), set.Siblings, set.MaxAttempts, set.Shards)
-	}
 	for i := range set.Classes {
-		c := &s.set.Classes[i]
-		if c.Aim <= 0 || c.Deadline <= 0 || c.Worth < 0 || s.classes[c.Name] != nil {
-			return nil, fmt.Errorf("gaugerelay: class %q: bad aim, deadline or worth, or listed twice", c.Name)
-		}
+		c := &set.Classes[i]
 		s.classes[c.Name] = c
 		if aim := time.Duration(thresholdPart * float64(c.Aim)); s.threshold == 0 || aim < s.threshold {
 			s.threshold = aim
@@ -103,20 +99,17 @@
 	// Inside its reserve a request is worth a try for as long as that is worth more than a sure answer beyond one:
 	// where answers take L in the mean, as by chance, one comes within t by 1−exp(−t/L), which is FairWorth here.
 	s.patienceIn = min(max(-math.Log1p(-min(set.FairWorth, 0.5)), patience/2), patience)
-	if len(set.Plans) == 0 {
-		s.set.Plans = []Plan{{Weight: 1, Pays: 1}}
-	}
-	for i := range s.set.Plans {
-		p := &s.set.Plans[i]
-		if p.Weight <= 0 || p.Pays < 0 || p.Reserve < 0 || p.Limit < 0 || s.plans[p.Name] != nil {
-			return nil, fmt.Errorf("gaugerelay: plan %q: bad figures, or listed twice", p.Name)
-		}
+	for i := range set.Plans {
+		p := &set.Plans[i]
 		s.plans[p.Name] = p
-		s.meanWeight += p.Weight / float64(len(s.set.Plans))
-		for _, c := range s.set.Classes {
+		s.meanWeight += p.Weight / float64(len(set.Plans))
+		for _, c := range set.Classes {
 			s.bestWorth = max(s.bestWorth, c.Worth*p.Pays)
 		}
 	}
+	if s.bestWorth == 0 { // nothing is worth anything: all alike
+		s.bestWorth = 1
+	}
 	return s, nil
 }
 
@@ -234,7 +227,7 @@
 	}
 	named := map[NodeID]bool{}
 	for _, e := range l.Nodes {
-		if e.Shard < 0 || e.Shard >= mostShards {
+		if e.Shard < 0 || e.Shard >= max(mostShards, s.set.Shards) {
 			continue
 		}
 		named[e.ID] = true
@@ -293,7 +286,11 @@
 // the same. It guards against a fleet whose calls fail together, come again together and fail again: those
 // that discovery gave up on have cost it as much as others.
 func (s *Scheduler) askLater(wait time.Duration) {
-	s.askWait = max(wait, s.set.AskWithin/32, min(s.allCalls(), s.set.AskWithin/2), s.set.Tick)
+	first := s.allCalls()
+	if s.set.AskWithin > 0 {
+		first = min(first, s.set.AskWithin/2)
+	}
+	s.askWait = max(wait, s.set.AskWithin/32, first, s.set.Tick)
 	s.askAgain = s.now + time.Duration(s.rnd.Float64()*float64(s.askWait))
 }
 
