Call off what a client left behind once, however often its leaving is told

Harmless outside, as a cancel of a cancelled attempt does nothing, but an action too many. Dropped now heeds what is not over yet; TestAttemptsOfTheGoneAreCalledOff passes.

--- a/scheduler.go
+++ b/scheduler.go
@@ -134,7 +134,7 @@
 		case Outcome:
 			s.outcome(&e)
 		case Dropped:
-			if r := s.reqs[e.ID]; r != nil {
+			if r := s.reqs[e.ID]; r != nil && !r.over {
 				s.callOff(r)
 				s.end(r)
 			}
