--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -100,10 +100,16 @@
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
 	return &Watcher{addr: addr, Clock: c, Metrics: m, Tell: tell, version: known.Version, list: nodelist.New(news(known)),
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: dial,
+		client: &http.Client{CheckRedirect: stay, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: dial,
 			MaxResponseHeaderBytes: 16 << 10}}}
 }
 
+// isArray guards against a whole list without its entries: taken for one, it would empty the one held.
+func isArray(v *fastjson.Value) bool { return v != nil && v.Type() == fastjson.TypeArray }
+
+// stay makes an answer that points elsewhere a failed call: discovery is where the settings say.
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // news is a list as nodelist judges it.
 func news(l core.List) nodelist.News {
 	n := nodelist.News{Version: l.Version, Whole: l.Scope != policy.Patch, Entries: make([]nodelist.Entry, len(l.Nodes))}
@@ -259,7 +265,7 @@
 			continue
 		}
 		v, err := parser.ParseBytes(lines.Bytes())
-		if err != nil || v.Type() != fastjson.TypeObject {
+		if err != nil || v.Type() != fastjson.TypeObject || v.GetBool("full") && !isArray(v.Get("servers")) {
 			// What it said is unknown: only a fresh answer can tell what was missed.
 			w.Metrics.Add("discovery_bad_lines", 1)
 			return errors.New("a line that is no JSON object")
