--- a/internal/discovery/follow_test.go
+++ b/internal/discovery/follow_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 type agent struct {
 	srv   *http.Server
 	feed  chan string
+	mu    sync.Mutex
 	asked []string // what was asked for, and when
 	began time.Time
 }
@@ -35,7 +37,9 @@
 	}
 	a := &agent{feed: make(chan string), began: time.Now()}
 	a.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.mu.Lock()
 		a.asked = append(a.asked, fmt.Sprintf("%s at %d", r.URL.Query().Get("after"), time.Since(a.began).Milliseconds()))
+		a.mu.Unlock()
 		w.(http.Flusher).Flush()
 		for {
 			select {
@@ -60,6 +64,8 @@
 func (a *agent) wasAsked(t *testing.T, want ...string) {
 	t.Helper()
 	synctest.Wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if !slices.Equal(a.asked, want) {
 		t.Errorf("asked for %q, want %q", a.asked, want)
 	}
@@ -73,6 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		n := &memnet.Net{}
+		var mu sync.Mutex
 		var told []string
 		m := metrics.New()
 		w := New("127.0.0.1:1", core.List{Version: 41, Scope: policy.Stale, Nodes: []*core.Node{{Name: "s-1"}, {Name: "s-2"}}},
@@ -80,6 +87,8 @@
 				if l.Scope == policy.Broken {
 					t.Error("a broken list")
 				}
+				mu.Lock()
+				defer mu.Unlock()
 				told = append(told, fmt.Sprintf("%d: %d, whole %v", l.Version, len(l.Nodes), l.Scope == policy.Whole))
 			}, n.Dial)
 		w.Follow(ctx)
@@ -109,6 +118,9 @@
 		b.says(`{"version":2,"full":true,"servers":[]}`)
 		time.Sleep(silentMs*time.Millisecond + 1)
 		b.wasAsked(t, "2 at 7000")
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		if want := []string{"43: 1, whole false", "43: 1, whole false", "0: 0, whole false", "40: 0, whole false",
 			"40: 1, whole true", "2: 0, whole true"}; !slices.Equal(told, want) {
 			t.Errorf("told %q, want %q", told, want)
--- a/internal/standin/deployments/world.go
+++ b/internal/standin/deployments/world.go
@@ -99,6 +99,7 @@
 // Play plays a deployment; it must run in a bubble.
 func Play(d *Deployment) Result {
 	w := &world{d: d, rnd: rand.New(rand.NewPCG(d.Seed, 23)), requests: map[string]*request{}, stores: map[uint64]*store{}}
+	w.mu.Lock()
 	for s := range d.Shards {
 		w.publish(w.newInstance(fmt.Sprintf("s-%d", s), s, time.Time{}), "Ready", 0)
 	}
@@ -107,6 +108,7 @@
 		w.gates = append(w.gates, g)
 		w.serveDiscovery(g)
 	}
+	w.mu.Unlock()
 	for _, g := range w.gates {
 		w.start(g)
 	}
@@ -263,12 +265,16 @@
 	old := max(w.d.Shards, len(w.changes)-3)
 	text := w.d.config(g.n, w.d.Seed+uint64(g.n), w.list(g, min(old, len(w.changes))))
 	w.mu.Unlock()
+	var young *gateway.Gateway
 	cfg, err := config.Parse(text)
 	if err == nil {
-		g.g, err = gateway.New(cfg, &config.Edge{}, clock.NewSystem(), gateway.Network{Listen: w.net.Listen, Dial: w.net.Dial})
+		young, err = gateway.New(cfg, &config.Edge{}, clock.NewSystem(), gateway.Network{Listen: w.net.Listen, Dial: w.net.Dial})
 	}
 	if err == nil {
-		err = g.g.Start()
+		w.mu.Lock()
+		g.g = young
+		w.mu.Unlock()
+		err = young.Start()
 	}
 	if err != nil {
 		w.mu.Lock()
@@ -282,7 +288,9 @@
 // faults is what goes wrong, drawn by the seed.
 func (w *world) faults() {
 	rnd := rand.New(rand.NewPCG(w.d.Seed, 24))
+	w.mu.Lock()
 	next := len(w.instances)
+	w.mu.Unlock()
 	var all sync.WaitGroup
 	at := func(s float64, f func()) {
 		all.Go(func() { time.Sleep(time.Duration(s * float64(time.Second))); f() })
@@ -348,8 +356,9 @@
 			at(from, func() {
 				w.mu.Lock()
 				g.killed = true
+				old := g.g
 				w.mu.Unlock()
-				g.g.Kill()
+				old.Kill()
 				time.Sleep(time.Duration(away * float64(time.Second)))
 				w.start(g)
 			})
@@ -357,8 +366,9 @@
 			at(from, func() {
 				w.mu.Lock()
 				g.stopping = time.Now()
+				old := g.g
 				w.mu.Unlock()
-				g.g.Stop()
+				old.Stop()
 				w.start(g)
 			})
 		}
