--- a/internal/standin/deployments/world.go
+++ b/internal/standin/deployments/world.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -462,8 +461,7 @@
 	req.answered = time.Now()
 	took := req.answered.Sub(began)
 	if err != nil {
-		var op *net.OpError
-		refused := strings.Contains(err.Error(), "refused") || asOp(err, &op)
+		refused := strings.Contains(err.Error(), "connection refused") // it was never taken
 		ended := asked != g.g || g.killed || !g.stopping.IsZero() && began.Sub(g.stopping) > 400*time.Millisecond
 		if !refused && !ended {
 			w.res.Lost++
@@ -498,18 +496,3 @@
 		w.broken("%s: a request in the protocol's form got %d: %s", id, code, text)
 	}
 }
-
-func asOp(err error, op **net.OpError) bool {
-	for e := err; e != nil; {
-		if o, ok := e.(*net.OpError); ok {
-			*op = o
-			return o.Op == "dial"
-		}
-		u, ok := e.(interface{ Unwrap() error })
-		if !ok {
-			return false
-		}
-		e = u.Unwrap()
-	}
-	return false
-}
