--- a/scheduler.go
+++ b/scheduler.go
@@ -96,8 +96,8 @@
 			s.threshold = aim
 		}
 	}
-	// Inside its reserve a request is worth a try for as long as that is worth more than a sure answer beyond one:
-	// where answers take L in the mean, as by chance, one comes within t by 1−exp(−t/L), which is FairWorth here.
+	// Inside its reserve a request is worth a try for as long as that is worth more than a sure answer beyond
+	// one: where answers take L in the mean, one comes within t by 1-exp(-t/L), which is FairWorth here.
 	s.patienceIn = min(max(-math.Log1p(-min(set.FairWorth, 0.5)), patience/2), patience)
 	for i := range set.Plans {
 		p := &set.Plans[i]
@@ -721,8 +721,8 @@
 	return min(wait, s.set.MaxComeBack)
 }
 
-// callOff gives up the attempts of a request for which nobody waits any more: where a node stops work that is given
-// up, it is free for others. Elsewhere that costs a connection.
+// callOff gives up the attempts of a request for which nobody waits any more: where a node stops work that is
+// given up, it is free for others. Elsewhere that costs a connection.
 func (s *Scheduler) callOff(r *request) {
 	for i, t := range r.tries {
 		if s.set.MayCancel && !t.closed {
