--- a/scheduler.go
+++ b/scheduler.go
@@ -36,7 +36,7 @@
 	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
 	listCall      = 6 * time.Second / 100 // a call of discovery may take it so long, and all gateways call
-	mostShards    = 1 << 12               // a list that names a shard beyond is in error, and beyond the settings'
+	mostShards    = 1 << 12               // a list with a shard beyond, and beyond the settings', errs
 )
 
 // reserved tells whether units are inside this gateway's part of the reserve now.
