Count gateways that end by themselves in the deployments suite; drop what nothing uses

Seen on a last read: crashed= could not be anything but 0, as nobody read Gateway.Ended, and what was counted at a start that fails was lost in the panic behind it. The play now asks each gateway before it ends it. Also dropped: a channel of the node's arrivals and nodelist.List.Version, which nothing read.

--- a/internal/decide/nodelist/nodelist.go
+++ b/internal/decide/nodelist/nodelist.go
@@ -58,9 +58,6 @@
 // Reset forgets the version, not the nodes: the news to come is another service's. Its first whole list counts.
 func (l *List) Reset() { l.version, l.behind = 0, false }
 
-// Version is the one that is held.
-func (l *List) Version() uint64 { return l.version }
-
 // Take decides on news. nowMs never runs backwards.
 //
 // While news is behind the version held it may close nodes, unless it speaks of an earlier start; it opens only what
--- a/internal/standin/deployments/node.go
+++ b/internal/standin/deployments/node.go
@@ -81,7 +81,7 @@
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	a := w.arrived(inst, g, req, id, first, r.Context().Done())
+	a := w.arrived(inst, g, req, id, first)
 	full := inst.waiting >= 30 || inst.drains || req.shard >= 0 && req.shard != inst.shard
 	draw, noise := w.rnd.Float64(), 0.3+1.4*w.rnd.Float64()
 	frozen := inst.frozen
@@ -151,7 +151,7 @@
 }
 
 // arrived notes a whole request and checks the rules that its arrival could break. w.mu is held.
-func (w *world) arrived(inst *instance, g *gate, req *request, id string, first time.Time, done <-chan struct{}) *arrival {
+func (w *world) arrived(inst *instance, g *gate, req *request, id string, first time.Time) *arrival {
 	now, slack := time.Now(), slackMs*time.Millisecond
 	grace := time.Duration(w.d.GraceMs)*time.Millisecond + slack
 	told, ok := g.told[inst]
@@ -178,7 +178,7 @@
 	if len(req.arrivals) >= w.d.Attempts {
 		w.broken("%s: attempt %d of %d", id, len(req.arrivals)+1, w.d.Attempts)
 	}
-	a := &arrival{at: now, inst: inst, ran: true, done: done}
+	a := &arrival{at: now, inst: inst, ran: true}
 	for _, p := range req.arrivals {
 		if !p.ran {
 			continue
--- a/internal/standin/deployments/world.go
+++ b/internal/standin/deployments/world.go
@@ -92,7 +92,6 @@
 	at   time.Time
 	inst *instance
 	ran  bool // or may have
-	done <-chan struct{}
 }
 
 // Play plays a deployment; it must run in a bubble.
@@ -119,6 +118,7 @@
 	w.wg.Wait()
 	time.Sleep(8 * time.Second)
 	for _, g := range w.gates {
+		w.crashed(g.n, g.g)
 		g.g.Kill()
 		g.discovery.Close()
 	}
@@ -276,11 +276,19 @@
 		err = young.Start()
 	}
 	if err != nil {
+		panic(err) // nothing can be played
+	}
+}
+
+// crashed counts a gateway of which a part has ended by itself. It is asked before the play ends that gateway.
+func (w *world) crashed(n int, g *gateway.Gateway) {
+	select {
+	case err := <-g.Ended():
 		w.mu.Lock()
 		w.res.Crashed++
-		w.broken("gateway %d does not start: %v", g.n, err)
+		w.broken("gateway %d: a part has ended by itself: %v", n, err)
 		w.mu.Unlock()
-		panic(err) // nothing can be played
+	default:
 	}
 }
 
@@ -357,6 +365,7 @@
 				g.killed = true
 				old := g.g
 				w.mu.Unlock()
+				w.crashed(g.n, old)
 				old.Kill()
 				time.Sleep(time.Duration(away * float64(time.Second)))
 				w.start(g)
@@ -367,6 +376,7 @@
 				g.stopping = time.Now()
 				old := g.g
 				w.mu.Unlock()
+				w.crashed(g.n, old)
 				old.Stop()
 				w.start(g)
 			})
