Give each HTTP request of the mixed-traffic test an id of its own

Counted by answer: 1,700 of 1,720 HTTP requests got 409, as all of them had the id "c" and only one of an id may be open.

--- a/internal/front/filefront/mixed_test.go
+++ b/internal/front/filefront/mixed_test.go
@@ -143,7 +143,9 @@
 					method, class = http.MethodPut, "push"
 				}
 				req, _ := http.NewRequest(method, fmt.Sprintf("%s/%s/%016x?volume=%d&units=%d", web.URL, class, n, volume, units), nil)
-				for k, v := range map[string]string{"X-Correlation-Id": "c", "X-Service-Class": class, "X-Plan": "basic",
+				for k, v := range map[string]string{
+					"X-Correlation-Id": fmt.Sprintf("%d-%d-%d", volume, w, n), // one of another open request gets 409
+					"X-Service-Class":  class, "X-Plan": "basic",
 					"X-Time-Left-Ms": "1500", "Idempotency-Key": "k",
 					"X-IO": fmt.Sprintf("volume=%016x,units=%d,shard=%d,hosts=1", volume, units, n%2)} {
 					req.Header.Set(k, v)
