While stopping, refuse at once what would take the last free connections

Ruled out by probes: shedding (35 of 135 connections open), readiness (asked for at the start only), the listener (open for 3.1 s instead of 0.6: nothing comes either), the time of the end (a restart comes 4.37 s after SIGTERM whenever the program ends). Logged by request and connection: at each of the four gateways the last request is the one that made all of its connections busy (30 of 30, 15 of 15, 8 of 8, 4 of 4), 0.5 to 2.7 s after SIGTERM. From then on nothing comes, though all of them are idle 30 ms later: whoever finds none and gets no new one holds the gateway for gone. ServeHTTP took every request.

A pure module weighs what one refusal saves: the risk that those left run out, the rate, the time left and the part that would be served on one connection less. The front asks it from 200 ms after SIGTERM on.

--- a/internal/front/httpfront/conns.go
+++ b/internal/front/httpfront/conns.go
@@ -116,6 +116,13 @@
 	c.sweep()
 }
 
+// Count is how many connections are open, and how many of them have a request.
+func (c *Conns) Count() (open, busy int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open, c.open - c.idle.Len() - c.fresh.Len()
+}
+
 // Drain closes the connections without a request, and from now on the others behind their answers. The channel
 // closes when none is left. http.Server's own ways to do so have the fault that client.Read guards against.
 func (c *Conns) Drain() (quiet <-chan struct{}) {
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"gaugerelay/internal/carrier/httpcarrier"
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
+	"gaugerelay/internal/decide/leaving"
 	"gaugerelay/internal/front/form"
 	"gaugerelay/internal/metrics"
 )
@@ -29,6 +31,8 @@
 	marginMs = 10
 	// guardMs after the module should have answered the front gives up by itself, inside the rules' 50 ms.
 	guardMs = 25
+	// comingMs after the gateway was told to stop, at the least, new connections keep coming, by the platform's word.
+	comingMs = 200
 )
 
 // Loop is what the front asks of the loop.
@@ -49,13 +53,46 @@
 	// Devices makes it the front for devices on poor links: requests are copies of exchanges, told by X-Device-Id.
 	Devices bool
 	Gateway string // told to devices: another at each start
+	// Conns makes the front keep clients' connections free while stopping, once no new ones are to be expected.
+	Conns *Conns
 
+	paceMu  sync.Mutex
+	pace    leaving.Pace
+	keepMs  atomic.Uint64 // bits of the float64: from when on connections are kept free; 0: not yet
 	endMs   atomic.Uint64 // bits of the float64: while stopping, when the last answer must be out; 0 before
 	closing atomic.Bool
 }
 
 // Drain makes the front tell that it is not ready and answer all that it takes from now on before endMs.
-func (f *Front) Drain(endMs float64) { f.endMs.Store(math.Float64bits(endMs)) }
+func (f *Front) Drain(endMs float64) {
+	f.keepMs.Store(math.Float64bits(f.Clock.NowMs() + comingMs))
+	f.endMs.Store(math.Float64bits(endMs))
+}
+
+// yields tells whether a request that has come is to be refused for its connection's sake.
+func (f *Front) yields(nowMs, endMs float64) bool {
+	if f.Conns == nil {
+		return false
+	}
+	f.paceMu.Lock()
+	defer f.paceMu.Unlock()
+	f.pace.Came(nowMs)
+	if endMs == 0 || nowMs < math.Float64frombits(f.keepMs.Load()) {
+		return false
+	}
+	open, busy := f.Conns.Count()
+	return f.pace.Refuse(nowMs, open, busy, endMs-nowMs)
+}
+
+// answered tells how long a request took that was not refused for its connection's sake.
+func (f *Front) answered(cameMs float64) {
+	if f.Conns != nil {
+		f.paceMu.Lock()
+		defer f.paceMu.Unlock()
+		now := f.Clock.NowMs()
+		f.pace.Answered(now, now-cameMs)
+	}
+}
 
 // Close makes each answer from now on the last of its connection.
 func (f *Front) Close() { f.closing.Store(true) }
@@ -105,6 +142,12 @@
 	if endMs != 0 { // the program ends then, and what it leaves open is lost
 		req.LeftMs = min(req.LeftMs, endMs-f.Clock.NowMs())
 	}
+	if f.yields(arrived, endMs) {
+		f.Metrics.Add("requests_yielded", 1)
+		f.refuse(w, min(250, clock.Ms(f.Settings.MaxComeBack)))
+		return
+	}
+	defer f.answered(arrived)
 	if !f.Loop.Offer(req) {
 		f.Metrics.Add("requests_inbox_full", 1)
 		if req.Device != nil && req.Repeat && r.Method != http.MethodGet { // an earlier copy may have run
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -38,9 +38,9 @@
 
 func newPlatform(g *Gateway) *platform {
 	clients := max(1, g.cfg.Sockets*3/8)
-	return &platform{g: g,
-		front: &httpfront.Front{Loop: g.loop, Carrier: g.back, Clock: g.Clock, Metrics: g.Metrics, Settings: &g.cfg.Settings},
-		conns: &httpfront.Conns{Most: max(1, clients*15/16), Clock: g.Clock, Metrics: g.Metrics}}
+	conns := &httpfront.Conns{Most: max(1, clients*15/16), Clock: g.Clock, Metrics: g.Metrics}
+	return &platform{g: g, conns: conns, front: &httpfront.Front{Loop: g.loop, Carrier: g.back, Clock: g.Clock,
+		Metrics: g.Metrics, Settings: &g.cfg.Settings, Conns: conns}}
 }
 
 func (p *platform) start(context.Context) (err error) {
