--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run soak show deployments
+.PHONY: build test lint run soak show deployments fleet-soak members-sim
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -32,3 +32,12 @@
 	@mkdir -p bin
 	@go test -count=1 -timeout 20m ./internal/standin/deployments -run TestDeployments -seeds $(SEEDS) -from $(FROM) -line $(CURDIR)/bin/deployments.txt; \
 	code=$$?; cat bin/deployments.txt; exit $$code
+
+# Several gateways, the real program, with faults between them and into them; counted at nodes and clients.
+N ?= 6
+fleet-soak: build
+	bin/gaugelab fleet --gateways $(N) --seconds $(SECONDS) --seed $(SEED) $(FLEET)
+
+# Membership of fleets of any size, on a clock of its own.
+members-sim: build
+	bin/gaugelab members --seed $(SEED)
--- a/api.go
+++ b/api.go
@@ -97,6 +97,11 @@
 	UsePeriod      time.Duration // period of Outcome.VolumeUse; 0: never told
 	TellsElsewhere bool          // outcomes carry ForeignUnits
 
+	// Shares tells that gateways lend each other parts of limits: Demand is wanted, and Part comes. Until it does a volume
+	// has StartPart of its even part here, what no gateway ever lends; 0: all of it.
+	Shares    bool
+	StartPart float64
+
 	ReportFields []string      // the values of a load report, in order
 	Tick         time.Duration // shortest gap between calls of Step
 }
@@ -213,6 +218,12 @@
 // Ending tells that the gateway ends. What is open then must have been answered by At.
 type Ending struct{ At time.Duration }
 
+// Part tells which part of a volume's limit is in force at this gateway from now on.
+type Part struct {
+	Volume VolumeID
+	Part   float64 // of the whole, over all gateways
+}
+
 // Wake is the return of a WakeAt.
 type Wake struct{}
 
@@ -223,6 +234,7 @@
 func (Dropped) event()  {}
 func (Probed) event()   {}
 func (Ending) event()   {}
+func (Part) event()     {}
 func (Wake) event()     {}
 
 // Action is something the gateway must now do. Actions are carried out in order.
@@ -256,6 +268,14 @@
 // Probe asks a node whether it answers.
 type Probe struct{ Node NodeID }
 
+// Demand tells what a volume's requests here could use of its limit, where Settings.Shares is set.
+type Demand struct {
+	Volume VolumeID
+	Hosts  int
+	Part   float64 // of the whole, over all gateways; may be more than that
+	Fresh  bool    // the first since this gateway has books of the volume: its part is to be told
+}
+
 // WakeAt asks for a Wake at the given time or soon after.
 type WakeAt struct{ At time.Duration }
 
@@ -268,5 +288,6 @@
 func (Cancel) action()    {}
 func (Subscribe) action() {}
 func (Probe) action()     {}
+func (Demand) action()    {}
 func (WakeAt) action()    {}
 func (Log) action()       {}
--- a/books.go
+++ b/books.go
@@ -84,6 +84,35 @@
 	foreign float64 // and elsewhere, as far as told
 	toldAt  time.Duration
 	askedAt time.Duration // when its last request came
+	asked   float64       // units asked for, fading over demandFade
+	askedTo time.Duration // when that last faded
+	tellAt  time.Duration // when a Demand is due; 0: none has been told
+}
+
+// Demand is told at most once in demandEvery, of what was asked for over about demandFade.
+const (
+	demandEvery = 100 * time.Millisecond
+	demandFade  = time.Second
+)
+
+// wants counts units asked for, and tells whether a Demand is due.
+func (v *volume) wants(now time.Duration, units float64) bool {
+	v.asked = v.asked*math.Exp(-float64(now-v.askedTo)/float64(demandFade)) + units
+	v.askedTo = now
+	return v.tellAt == 0 || now >= v.tellAt
+}
+
+// demand is what the volume could use of its limit here.
+func (v *volume) demand(id VolumeID) Demand {
+	d := Demand{Volume: id, Hosts: int(v.hosts), Part: v.asked / demandFade.Seconds() / v.plan.Limit, Fresh: v.tellAt == 0}
+	v.tellAt = v.askedTo + demandEvery
+	return d
+}
+
+// limitTo sets the part of its limit that is in force here. What is held beyond its store is gone.
+func (v *volume) limitTo(now time.Duration, part float64) {
+	v.limit.at(now)
+	v.limit.rate, v.limit.most = v.plan.Limit*part, v.plan.LimitCap*part
 }
 
 // flow is a volume's held requests at one shard.
@@ -142,3 +171,14 @@
 	queue []*request
 	rest  time.Duration // nothing is sent before
 }
+
+// oldest is the oldest attempt that is out and not given up.
+func (n *node) oldest() *try {
+	for len(n.out) > 0 && (n.out[0].closed || n.out[0].lost) {
+		n.out = n.out[1:]
+	}
+	if len(n.out) == 0 {
+		return nil
+	}
+	return n.out[0]
+}
--- /dev/null
+++ b/cmd/gaugelab/fleet.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gaugerelay/internal/standin/fleet"
+)
+
+type fleetCmd struct {
+	Gateways int     `default:"6" help:"How many processes of the gateway."`
+	Seconds  float64 `default:"0" help:"How long; each scenario once if left out."`
+	Seed     uint64  `default:"1" help:"What is drawn; the same seed draws the same faults and traffic." aliases:"replay"`
+	Hosts    int     `default:"3" help:"Gateways through which a volume's requests come."`
+	Volumes  int     `default:"4" help:"Volumes, each with a limit that is asked for 1.4 times."`
+	Lease    float64 `default:"1000" help:"How long a part of a limit is lent, in milliseconds."`
+	Only     string  `help:"One scenario, by its name."`
+	Without  bool    `help:"Gateways do not speak with each other."`
+	Binary   string  `help:"The gateway; bin/gaugerelay beside this program if left out."`
+}
+
+// Run plays the scenarios; what must never be makes it fail.
+func (c *fleetCmd) Run() error {
+	if c.Binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Binary = filepath.Join(filepath.Dir(self), "gaugerelay")
+	}
+	fmt.Printf("seed %d: %d gateways, %d volumes through %d of them each\n", c.Seed, c.Gateways, c.Volumes, c.Hosts)
+	res, err := fleet.Run(fleet.Options{Binary: c.Binary, Gateways: c.Gateways, Hosts: min(c.Hosts, c.Gateways), Volumes: c.Volumes, Shards: 2,
+		Seed: c.Seed, Fleet: !c.Without, LeaseMs: c.Lease}, time.Duration(c.Seconds*float64(time.Second)), c.Only, os.Stdout)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("served %d (%.0f units), refused %d, failed %d; %d pauses, %d datagrams\n", res.Served, res.ServedUnits, res.Refused, res.Failed,
+		res.Pauses, res.Datagrams)
+	for _, b := range res.Broken {
+		fmt.Println("broken:", b)
+	}
+	fmt.Printf("processes=%d kills=%d partitions=%d over_limit=%d doubled=%d crashed=%d lost=%d worst_over_units=%.1f bound_units=%.1f\n",
+		c.Gateways, res.Kills, res.Partitions, res.OverLimit, res.Doubled, res.Crashed, res.Lost, res.WorstOver, res.BoundOver)
+	if n := len(res.Broken); n > 0 {
+		return fmt.Errorf("%d of what must never be", n)
+	}
+	return nil
+}
--- a/cmd/gaugelab/main.go
+++ b/cmd/gaugelab/main.go
@@ -94,7 +94,9 @@
 
 func main() {
 	var cli struct {
-		Soak soakCmd `cmd:"" help:"Devices on poor links against a gateway whose nodes fail, drain and restart."`
+		Fleet   fleetCmd   `cmd:"" help:"Several gateways, the real program, with faults between them and into them."`
+		Members membersCmd `cmd:"" help:"Membership of fleets of 3 to 1,000 gateways, with losses and deaths."`
+		Soak    soakCmd    `cmd:"" help:"Devices on poor links against a gateway whose nodes fail, drain and restart."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("gaugelab"), kong.Description("Tries the gateway out against stand-ins, on loopback."),
 		kong.UsageOnError())
--- a/cmd/gaugerelay/main.go
+++ b/cmd/gaugerelay/main.go
@@ -2,26 +2,72 @@
 package main
 
 import (
-	"flag"
 	"fmt"
+	"io"
 	"log"
 	"math"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
 	"gaugerelay/internal/gateway"
 )
 
+type serveCmd struct {
+	Edge string `type:"path" placeholder:"FILE" help:"The operator's file for further fronts; none are on without it."`
+}
+
+// Run serves until the program is told to end.
+func (c *serveCmd) Run() error { return run(c.Edge) }
+
+type showCmd struct {
+	Addr string `arg:"" help:"Where the gateway's clients connect."`
+}
+
+// Run prints what a running gateway knows of its fleet.
+func (c *showCmd) Run() error {
+	client := &http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + c.Addr + "/fleet")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s is in no fleet, or is no gateway: %s", c.Addr, resp.Status)
+	}
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return err
+}
+
 func main() {
 	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds)
-	edge := flag.String("edge", "", "the operator's `file` for further fronts; none are on without it")
-	flag.Parse()
-	if err := run(*edge); err != nil {
+	var cli struct {
+		Serve serveCmd `cmd:"" default:"withargs" help:"Serve; this is what is done without a command."`
+		Fleet struct {
+			Show showCmd `cmd:"" help:"What a running gateway knows of its fleet: bounds in force, members, parts held."`
+		} `cmd:"" help:"Gateways that share limits."`
+	}
+	args := os.Args[1:]
+	for i, a := range args {
+		if a == "-edge" || strings.HasPrefix(a, "-edge=") { // as it was written before there were commands
+			args[i] = "-" + a
+		}
+	}
+	parser := kong.Must(&cli, kong.Name("gaugerelay"), kong.Description("The gateway."))
+	ctx, err := parser.Parse(args)
+	if err == nil {
+		err = ctx.Run()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "gaugerelay:", err)
 		os.Exit(1)
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -200,3 +200,58 @@
 		t.Errorf("%d requests, %d expiries at the end", len(s.reqs), len(s.expiries))
 	}
 }
+
+// Parts of a limit that move: a volume starts with what no gateway ever lends, tells what it could use, and is held to
+// the part that it is told. Where gateways do not share, nothing of that is there.
+func TestPartsOfALimit(t *testing.T) {
+	g := newGate(t, func(s *Settings) { s.Shares, s.StartPart = true, 0.5 })
+	ask := func(units float64) (demands []Demand) {
+		a := g.ask("read", "capped", 7, units, 1)
+		a.Hosts = 2
+		for _, a := range append(g.step(a), g.after(10*ms)...) {
+			if d, ok := a.(Demand); ok {
+				demands = append(demands, d)
+			}
+		}
+		return demands
+	}
+	if d := ask(1); len(d) != 1 || !d[0].Fresh || d[0].Volume != 7 || d[0].Hosts != 2 {
+		t.Fatalf("told %+v of a new volume", d)
+	}
+	v := g.s.volumes[7]
+	if v.limit.rate != 5 || v.limit.most != 6 { // half of an even part of 20 and 24
+		t.Errorf("starts with %v units a second, up to %v", v.limit.rate, v.limit.most)
+	}
+	told := 0
+	for range 100 { // a second at 100 units/s, five times the limit
+		for _, d := range ask(1) {
+			if told++; d.Fresh {
+				t.Error("told as new again")
+			}
+		}
+	}
+	if told < 5 || told > 11 {
+		t.Errorf("told %d times in a second", told)
+	}
+	if got := v.demand(7).Part; got < 2 || got > 5 {
+		t.Errorf("%.2f of the limit could be used, asked for was about 3", got)
+	}
+	g.step(Part{Volume: 7, Part: 0.9}, Part{Volume: 99, Part: 1})
+	if v.limit.rate != 18 || v.limit.most != 24*0.9 {
+		t.Errorf("told of nine tenths: %v units a second, up to %v", v.limit.rate, v.limit.most)
+	}
+	g.after(3 * time.Second)
+	if g.step(Part{Volume: 7, Part: 0.1}); v.limit.at(g.now) > 2.4+1e-9 {
+		t.Errorf("%v units are left of a part whose store holds 2.4", v.limit.level)
+	}
+	plain := newGate(t, func(s *Settings) { s.StartPart = 0.5 })
+	a := plain.ask("read", "capped", 7, 1, 1)
+	for _, a := range plain.step(a) {
+		if _, ok := a.(Demand); ok {
+			t.Error("told though nobody shares")
+		}
+	}
+	if v := plain.s.volumes[7]; v.limit.rate != 20 || v.limit.most != 24 {
+		t.Errorf("without sharing %v units a second, up to %v", v.limit.rate, v.limit.most)
+	}
+}
--- a/internal/carrier/filecarrier/backend.go
+++ b/internal/carrier/filecarrier/backend.go
@@ -89,6 +89,7 @@
 	addr   string
 	lastID uint32
 	idleMs float64 // since when
+	clock  clock.Clock
 }
 
 // New returns a backend; finish takes the ends of attempts.
@@ -203,7 +204,7 @@
 		b.mu.Unlock()
 		return nil, err
 	}
-	s := &session{Conn: c, addr: addr}
+	s := &session{Conn: c, clock: b.clock, addr: addr}
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	err = s.greet()
 	if !stop() && err == nil {
@@ -324,7 +325,7 @@
 	if cmd.Op == Open {
 		return rep, handle, ran, nil
 	}
-	if a.Node.Closed() { // told while the OPEN was out: nothing new goes to the node
+	if a.Over(s.clock.NowMs()) { // told while the OPEN was out: nothing new goes to the node
 		return nil, nil, false, errDrained
 	}
 	var p packet
--- a/internal/carrier/httpcarrier/backend.go
+++ b/internal/carrier/httpcarrier/backend.go
@@ -109,7 +109,7 @@
 // attempt runs one attempt to its end.
 func (b *Backend) attempt(ctx context.Context, a core.Attempt) core.Result {
 	for {
-		t := &try{node: a.Node, body: len(a.Request.Load.(*Load).Body)}
+		t := &try{Attempt: a, body: len(a.Request.Load.(*Load).Body)}
 		res := b.attemptOnce(ctx, a, t)
 		// A kept connection that turns out to be stale is gone by that, and nothing went out on it: taking another
 		// is no resend.
--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -23,14 +23,14 @@
 )
 
 var (
-	errClosedNode = errors.New("the node drains or is gone")
-	errStale      = errors.New("the connection cannot be used any more")
-	errSpoilt     = errors.New("an answer that cannot be read")
+	errOver   = errors.New("the node drains or is gone, or what the attempt draws on is over")
+	errStale  = errors.New("the connection cannot be used any more")
+	errSpoilt = errors.New("an answer that cannot be read")
 )
 
 // try follows one attempt through the transport.
 type try struct {
-	node *core.Node
+	core.Attempt
 	head []byte // as far as it has been written, until its end is found
 	body int    // bytes of it still to be written once head is
 	ends bool   // the end of the head was found
@@ -162,8 +162,8 @@
 // where something has come that no request asked for.
 func (c *conn) Write(p []byte) (int, error) {
 	t := c.try.Load()
-	if t != nil && t.node.Closed() && !t.ends && len(t.head) == 0 {
-		return 0, errClosedNode
+	if t != nil && !t.ends && len(t.head) == 0 && t.Over(c.back.clock.NowMs()) {
+		return 0, errOver
 	}
 	c.mu.Lock()
 	if c.answer == nil {
@@ -195,7 +195,7 @@
 // unbegun tells whether a kept connection has failed before a byte of the attempt was handed to it, and sees to it
 // that none is. http.Transport drops a connection whose end it reads before it has written a request that waits.
 func (t *try) unbegun() bool {
-	if t.conn == nil || t.node.Closed() {
+	if t.conn == nil || t.Over(t.conn.back.clock.NowMs()) {
 		return false
 	}
 	t.conn.mu.Lock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,9 @@
 	Known                   core.List
 	KnownBad                int // entries of it that could not be read
 	Settings                policy.Settings
+	Self                    int      // this gateway's number
+	PeerListen              string   // where it is reached by others; "": nowhere
+	Peers                   []string // where it reaches the gateways, itself included, in the order of their numbers
 	ConnIdleMs, ConnectMs   float64
 
 	fileDiscovery string // Discovery as the file has it
@@ -149,6 +152,10 @@
 		c.Sockets = defaultSockets
 	}
 	c.Settings = r.settings(s)
+	c.Self, c.PeerListen = r.count(s, "SelfIndex"), r.str(v, "peer_listen")
+	for _, p := range v.GetArray("peers") {
+		c.Peers = append(c.Peers, string(p.GetStringBytes()))
+	}
 	return c, r.err
 }
 
--- a/internal/config/edge.go
+++ b/internal/config/edge.go
@@ -23,6 +23,7 @@
 	Files   *Files
 	BGP     *bgp.Options
 	Devices *Devices
+	Fleet   *Fleet
 }
 
 // Files sets up the front for file commands.
@@ -105,6 +106,11 @@
 			return nil, fmt.Errorf("devices: %w", err)
 		}
 	}
+	if f := v.Get("fleet"); f != nil {
+		if e.Fleet, err = fleetOf(f); err != nil {
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+	}
 	return e, nil
 }
 
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"gaugerelay/internal/peer/fleet"
+)
+
+// Fleet sets up how gateways agree with each other. What is left out comes from the platform's configuration.
+type Fleet struct {
+	Listen string
+	Self   int // below zero: the platform's
+	Peers  []string
+	Opt    fleet.Options // without Self, Peers, Life and Seed
+}
+
+func fleetOf(v *fastjson.Value) (*Fleet, error) {
+	r := &reader{}
+	f := &Fleet{Listen: r.str(v, "listen"), Self: -1, Opt: fleet.Options{Key: []byte(r.str(v, "key")), PeriodMs: 500, LeaseMs: 2000,
+		Drift: 0.01, Lends: 0.5, MostVolumes: 4096}}
+	if v.Exists("self") {
+		f.Self = r.count(v, "self")
+	}
+	for _, p := range v.GetArray("peers") {
+		f.Peers = append(f.Peers, string(p.GetStringBytes()))
+	}
+	for name, at := range map[string]*float64{"period_ms": &f.Opt.PeriodMs, "lease_ms": &f.Opt.LeaseMs, "clock_drift": &f.Opt.Drift,
+		"lends": &f.Opt.Lends} {
+		if v.Exists(name) {
+			*at = r.num(v, name)
+		}
+	}
+	if v.Exists("max_volumes") {
+		f.Opt.MostVolumes = r.count(v, "max_volumes")
+	}
+	f.Opt.TimeoutMs = f.Opt.PeriodMs * 0.3
+	errs := []error{r.err}
+	if f.Listen != "" {
+		errs = append(errs, hostPort("listen", f.Listen))
+	}
+	if f.Opt.PeriodMs < 10 || f.Opt.PeriodMs > 60_000 || f.Opt.LeaseMs < 100 || f.Opt.LeaseMs > 60_000 {
+		errs = append(errs, errors.New("period_ms is not from 10 to 60000, or lease_ms not from 100 to 60000"))
+	}
+	if f.Opt.Drift > 0.2 || f.Opt.Lends > 0.5 {
+		// Each gateway's even part of a limit's store holds two of the largest requests; with less than half of it the
+		// largest could never go.
+		errs = append(errs, errors.New("clock_drift is over 0.2, or lends over 0.5"))
+	}
+	if f.Opt.MostVolumes < 1 {
+		errs = append(errs, errors.New("max_volumes is below 1"))
+	}
+	return f, first(errs)
+}
+
+// With fills in what the platform tells, and makes the options of this gateway's side.
+func (f *Fleet) With(c *Config) (listen string, o fleet.Options, err error) {
+	listen, self, peers := f.Listen, f.Self, f.Peers
+	if listen == "" {
+		listen = c.PeerListen
+	}
+	if len(peers) == 0 {
+		peers = c.Peers
+	}
+	if self < 0 {
+		self = c.Self
+	}
+	o = f.Opt
+	if o.Peers, err = fleet.Parse(peers); err != nil {
+		return "", o, fmt.Errorf("fleet: %w", err)
+	}
+	if self >= len(o.Peers) || len(o.Peers) > 1<<16 {
+		return "", o, fmt.Errorf("fleet: number %d of %d peers", self, len(o.Peers))
+	}
+	o.Self = uint16(self)
+	return listen, o, first([]error{hostPort("fleet: listen", listen)})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,6 +115,15 @@
 	Block  int     // a good size of blocks; 0: not told
 }
 
+// Fleet is what other gateways have agreed with this one. It is called on the goroutine that owns the core.
+type Fleet interface {
+	// Before is called at the start of each step, before anything is decided: what holds by time alone may have ended.
+	Before(nowMs float64) []policy.Event
+	Demand(nowMs float64, d policy.Demand)
+	// Until is when the part of a volume's limit that is in force now ends, as far as it is borrowed; 0: it does not.
+	Until(v policy.VolumeID) float64
+}
+
 // Node is a storage node as listed. Its fields never change; a new entry replaces it, and what the list says
 // later of the same process at the same address closes all of its entries, since attempts may hold old ones.
 type Node struct {
@@ -144,6 +153,13 @@
 	N          int
 	Node       *Node
 	DeadlineMs float64 // when to stop waiting, on the clock
+	BeginMs    float64 // what it draws on is over then: its first byte goes out before, or never; 0: there is no such time
+}
+
+// Over tells whether an attempt of which no byte has gone out must not begin any more: its node is closed, or it waited,
+// for a connection or in a process that was stopped, for longer than what it draws on lasts.
+func (a *Attempt) Over(nowMs float64) bool {
+	return a.Node.Closed() || a.BeginMs != 0 && nowMs >= a.BeginMs
 }
 
 // Result is how an attempt ended.
@@ -197,6 +213,7 @@
 	policy Policy
 	out    Outside
 	desk   Desk
+	fleet  Fleet
 	events []policy.Event
 	open   map[policy.RequestID]*entry
 	byName map[string]*entry // of open, those that have a ClientID
@@ -221,6 +238,9 @@
 // Desk is what SetDesk gave.
 func (c *Core) Desk() Desk { return c.desk }
 
+// SetFleet gives the core what speaks with other gateways. It is called before the first step.
+func (c *Core) SetFleet(f Fleet) { c.fleet = f }
+
 // Open is the number of requests not yet answered.
 func (c *Core) Open() (n int) {
 	for _, e := range c.open {
@@ -393,6 +413,9 @@
 
 // Step lets the module decide on all that came in since the last one, and carries it out.
 func (c *Core) Step(nowMs float64) {
+	if c.fleet != nil {
+		c.events = append(c.fleet.Before(nowMs), c.events...)
+	}
 	if len(c.events) == 0 {
 		return
 	}
@@ -416,6 +439,10 @@
 			if n := c.nodes[a.Node]; n != nil {
 				c.out.Probe(n)
 			}
+		case policy.Demand:
+			if c.fleet != nil {
+				c.fleet.Demand(nowMs, a)
+			}
 		case policy.WakeAt:
 			c.wakeAt = a.At
 			c.out.WakeAt(clock.Ms(a.At))
@@ -437,11 +464,16 @@
 	if a.Timeout != 0 {
 		deadline = min(deadline, nowMs+clock.Ms(a.Timeout))
 	}
+	begin := 0.0
+	if c.fleet != nil {
+		begin = c.fleet.Until(policy.VolumeID(e.req.Volume))
+	}
 	t := &attempt{node: n, sentMs: nowMs}
 	e.tries = append(e.tries, t)
 	e.out++
 	c.out.Count("attempts_started")
-	t.cancel = e.req.Carrier.Start(Attempt{Request: e.req, N: len(e.tries) - 1, Node: n, DeadlineMs: deadline})
+	t.cancel = e.req.Carrier.Start(Attempt{Request: e.req, N: len(e.tries) - 1, Node: n, DeadlineMs: deadline,
+		BeginMs: begin})
 }
 
 func (c *Core) end(id policy.RequestID, a Answer) {
--- /dev/null
+++ b/internal/decide/share/share.go
@@ -0,0 +1,435 @@
+package share
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// needMs is how long a demand counts after it was told.
+const needMs = 1000
+
+// headroom is how much more than it uses a gateway keeps or asks for.
+const headroom = 1.15
+
+// strangers is how many gateways that have not answered for a pot yet are asked at once.
+const strangers = 4
+
+// grain is the least part that is worth a message, of a gateway's own part.
+const grain = 0.05
+
+// loan is a part lent to one life of a borrower.
+type loan struct {
+	peer    uint16
+	life    uint32
+	seq     uint32
+	part    float64
+	untilMs float64
+}
+
+// debt is a part held of one life of a lender.
+type debt struct {
+	peer    uint16
+	life    uint32
+	seq     uint32
+	part    float64
+	untilMs float64
+}
+
+// ask is one that waits for its grant.
+type ask struct {
+	peer uint16
+	seq  uint32
+	atMs float64
+}
+
+type pot struct {
+	id       uint64
+	own      float64 // this gateway's even part
+	hosts    int
+	need     float64
+	needAtMs float64
+	loans    []loan
+	debts    []debt
+	asks     []ask    // at most one a lender: a later one replaces it
+	known    []uint16 // those that have answered for this pot: its traffic comes through them, too
+	turn     int      // which of the others are asked next
+	askedMs  float64
+	seq      uint32
+	told     float64 // what was last told to be held
+}
+
+// Book is the parts of one gateway.
+type Book struct {
+	set     Settings
+	startMs float64
+	begun   bool
+	pots    map[uint64]*pot
+	order   []uint64 // of pots, in the order of their first demand
+	peers   []uint16 // that may be asked
+}
+
+// New returns the books of a gateway that has just started, or an error if the settings cannot be used.
+func New(set Settings) (*Book, error) {
+	if !(set.LeaseMs > 0) || !(set.Drift >= 0 && set.Drift < 0.5) || !(set.Lends >= 0 && set.Lends < 1) || !(set.AskMs > 0) ||
+		set.MostPots < 1 || set.MostPeers < 1 {
+		return nil, fmt.Errorf("share: a lease of %v ms, a drift of %v, a part of %v to lend, %v ms between asks, %d pots and %d peers",
+			set.LeaseMs, set.Drift, set.Lends, set.AskMs, set.MostPots, set.MostPeers)
+	}
+	if set.AskMs >= set.LeaseMs/2 || !(set.IdleMs >= needMs) {
+		return nil, errors.New("share: leases that end before they can be renewed, or pots forgotten while they are in use")
+	}
+	return &Book{set: set, pots: map[uint64]*pot{}}, nil
+}
+
+// HoldMs is how long a lender holds a part as lent after the ask that it was lent for, on its own clock. The borrower
+// uses it for LeaseMs of its clock from an earlier moment on. A clock that runs slow by the drift shows LeaseMs after
+// LeaseMs/(1-Drift); one that runs fast by it shows 1+Drift of that.
+func (set Settings) HoldMs() float64 { return set.LeaseMs * (1 + set.Drift) / (1 - set.Drift) }
+
+// Peers tells whom to ask for parts, at most MostPeers of them.
+func (b *Book) Peers(peers []uint16) {
+	b.peers = slices.Clone(peers[:min(len(peers), b.set.MostPeers)])
+}
+
+// Step takes what came at one moment and returns what to send and which parts have changed. Time must not run backwards.
+// A gateway calls it before it uses any part, since leases end by time alone.
+func (b *Book) Step(nowMs float64, demands []Demand, in []Message) (out []Message, parts []Part) {
+	if !b.begun {
+		b.begun, b.startMs = true, nowMs
+	}
+	for _, d := range demands {
+		b.demand(nowMs, d)
+	}
+	for _, m := range in {
+		if m.Peer == b.set.Self || !(m.Part >= 0 && m.Part <= 1) {
+			continue // it would lend to itself, or what cannot be
+		}
+		switch m.Kind {
+		case Ask:
+			if reply, ok := b.lend(nowMs, m); ok {
+				out = append(out, reply)
+			}
+		case Grant:
+			b.borrow(nowMs, m)
+		case Back:
+			b.takeBack(m)
+		case Recall:
+			if p := b.pots[m.Pot]; p != nil && m.To == b.set.Life {
+				out = b.giveBack(p, m, out)
+			}
+		}
+	}
+	for _, id := range b.order {
+		p := b.pots[id]
+		b.expire(p, nowMs)
+		out = append(out, b.balance(p, nowMs)...)
+		if held := b.held(p, nowMs); held != p.told {
+			p.told = held
+			parts = append(parts, Part{p.id, held})
+		}
+	}
+	b.forget(nowMs)
+	return out, parts
+}
+
+// Held is what this gateway holds of a pot.
+func (b *Book) Held(nowMs float64, id uint64) float64 {
+	p := b.pots[id]
+	if p == nil {
+		return 0
+	}
+	b.expire(p, nowMs)
+	return b.held(p, nowMs)
+}
+
+// UntilMs is when the first of what is borrowed of a pot is over; 0: nothing is.
+func (b *Book) UntilMs(id uint64) (until float64) {
+	if p := b.pots[id]; p != nil {
+		for _, d := range p.debts {
+			if until == 0 || d.untilMs < until {
+				until = d.untilMs
+			}
+		}
+	}
+	return until
+}
+
+// Pots lists the pots with a book, in the order of their first demand.
+func (b *Book) Pots() []uint64 { return slices.Clone(b.order) }
+
+// Lent is what this gateway has lent of a pot, and Borrowed what it holds of others.
+func (b *Book) Lent(id uint64) (lent, borrowed float64) {
+	if p := b.pots[id]; p != nil {
+		return p.lent(), p.borrowed()
+	}
+	return 0, 0
+}
+
+// NextMs is when a lease ends or asks are due; Step is to be called by then.
+func (b *Book) NextMs(nowMs float64) float64 {
+	next := math.Inf(1)
+	for _, id := range b.order {
+		p := b.pots[id]
+		for _, d := range p.debts {
+			next = min(next, d.untilMs)
+		}
+		for _, l := range p.loans {
+			next = min(next, l.untilMs)
+		}
+		if len(p.debts) > 0 || len(p.loans) > 0 || len(b.peers) > 0 && p.short(nowMs, b.held(p, nowMs)) > 0 {
+			next = min(next, max(nowMs, p.askedMs)+b.set.AskMs)
+		}
+	}
+	if hold := b.startMs + b.set.HoldMs(); len(b.order) > 0 && nowMs < hold {
+		next = min(next, hold)
+	}
+	return next
+}
+
+func (p *pot) lent() (sum float64) {
+	for _, l := range p.loans {
+		sum += l.part
+	}
+	return sum
+}
+
+func (p *pot) borrowed() (sum float64) {
+	for _, d := range p.debts {
+		sum += d.part
+	}
+	return sum
+}
+
+// held is what the gateway may use now.
+func (b *Book) held(p *pot, nowMs float64) float64 {
+	own := p.own
+	if nowMs < b.startMs+b.set.HoldMs() {
+		own *= 1 - b.set.Lends // an earlier life may have lent the rest
+	}
+	return max(0, own-p.lent()) + p.borrowed()
+}
+
+// uses is what the pot's traffic here is given as far as there is enough.
+func (p *pot) uses(nowMs float64) float64 {
+	if nowMs-p.needAtMs > needMs {
+		return 0
+	}
+	return min(1, p.need*headroom)
+}
+
+// short is what the pot's traffic here could use beyond what is held, if it is worth a message.
+func (p *pot) short(nowMs, held float64) float64 {
+	if lacks := p.uses(nowMs) - held; lacks > grain*p.own {
+		return lacks
+	}
+	return 0
+}
+
+func (b *Book) demand(nowMs float64, d Demand) {
+	p := b.pots[d.Pot]
+	if d.Hosts < 1 || !(d.Part >= 0) {
+		return
+	}
+	own := 1 / float64(d.Hosts)
+	if p == nil {
+		if len(b.order) >= b.set.MostPots {
+			return // it stays with its even part
+		}
+		p = &pot{id: d.Pot, own: own, hosts: d.Hosts, askedMs: math.Inf(-1)}
+		b.pots[d.Pot] = p
+		b.order = append(b.order, d.Pot)
+	}
+	if own < p.own { // told of more gateways: each one's part is less, and stays so
+		p.own, p.hosts = own, d.Hosts
+	}
+	p.need, p.needAtMs = d.Part, nowMs
+	if d.Fresh {
+		p.told = math.NaN() // no part is like it
+	}
+}
+
+// lend answers an ask. What a borrower has been given is never less in a later grant while it lasts: the borrower may
+// still use it.
+func (b *Book) lend(nowMs float64, m Message) (Message, bool) {
+	p := b.pots[m.Pot]
+	if p == nil || nowMs-p.needAtMs > b.set.IdleMs {
+		return Message{}, false // its traffic does not come through here, so no part of it is here
+	}
+	b.expire(p, nowMs)
+	i := slices.IndexFunc(p.loans, func(l loan) bool { return l.peer == m.Peer && l.life == m.Life })
+	if i >= 0 && int32(m.Seq-p.loans[i].seq) < 0 {
+		return Message{}, false // older than what is booked
+	}
+	have := 0.0
+	if i >= 0 {
+		have = p.loans[i].part
+	}
+	reply := Message{Kind: Grant, Pot: m.Pot, Peer: m.Peer, Life: b.set.Life, To: m.Life, Seq: m.Seq, Part: have}
+	if i >= 0 && m.Seq == p.loans[i].seq {
+		return reply, true // the same ask again: the same answer, and no longer
+	}
+	used := p.uses(nowMs)
+	if i >= 0 && used > p.own-p.lent() {
+		return Message{}, false // it is needed here: the loan ends in its time
+	}
+	free := b.held(p, nowMs) - p.borrowed() - max(used, p.own*(1-b.set.Lends))
+	reply.Part = have + max(0, min(m.Part-have, free))
+	if reply.Part == 0 {
+		return reply, true // nothing to book: it is told so
+	}
+	if i < 0 {
+		if len(p.loans) >= b.set.MostPeers {
+			reply.Part = 0
+			return reply, true
+		}
+		p.loans = append(p.loans, loan{peer: m.Peer, life: m.Life})
+		i = len(p.loans) - 1
+	}
+	l := &p.loans[i]
+	l.seq, l.part, l.untilMs = m.Seq, reply.Part, nowMs+b.set.HoldMs()
+	return reply, true
+}
+
+// borrow takes in a grant. Only one that answers the latest ask counts, by the time of that ask.
+func (b *Book) borrow(nowMs float64, m Message) {
+	p := b.pots[m.Pot]
+	if p == nil || m.To != b.set.Life {
+		return
+	}
+	i := slices.IndexFunc(p.asks, func(a ask) bool { return a.peer == m.Peer && a.seq == m.Seq })
+	if i < 0 {
+		return
+	}
+	if !slices.Contains(p.known, m.Peer) && len(p.known) < b.set.MostPeers {
+		p.known = append(p.known, m.Peer)
+	}
+	until := p.asks[i].atMs + b.set.LeaseMs
+	p.asks = slices.Delete(p.asks, i, i+1)
+	if nowMs >= until {
+		return
+	}
+	j := slices.IndexFunc(p.debts, func(d debt) bool { return d.peer == m.Peer && d.life == m.Life })
+	if j < 0 {
+		if m.Part == 0 || len(p.debts) >= 2*b.set.MostPeers {
+			return
+		}
+		p.debts = append(p.debts, debt{peer: m.Peer, life: m.Life})
+		j = len(p.debts) - 1
+	}
+	p.debts[j].seq, p.debts[j].part, p.debts[j].untilMs = m.Seq, m.Part, until
+}
+
+// giveBack ends what a lender calls back, at once: it is the lender's own. A borrower that does not hear of it, or
+// is not one of this package, has it until its lease is over.
+func (b *Book) giveBack(p *pot, m Message, out []Message) []Message {
+	for i := range p.debts {
+		if d := &p.debts[i]; d.peer == m.Peer && d.life == m.Life && d.part > m.Part {
+			out = append(out, b.lower(p, d, m.Part))
+		}
+	}
+	return out
+}
+
+// lower makes a debt less, and says so behind that.
+func (b *Book) lower(p *pot, d *debt, part float64) Message {
+	p.seq++
+	d.part, d.seq = part, p.seq
+	p.asks = slices.DeleteFunc(p.asks, func(a ask) bool { return a.peer == d.peer })
+	return Message{Kind: Back, Pot: p.id, Peer: d.peer, Life: b.set.Life, To: d.life, Seq: p.seq, Part: part}
+}
+
+// takeBack ends what the borrower says that it no longer holds.
+func (b *Book) takeBack(m Message) {
+	p := b.pots[m.Pot]
+	if p == nil || m.To != b.set.Life {
+		return
+	}
+	for i := range p.loans {
+		if l := &p.loans[i]; l.peer == m.Peer && l.life == m.Life && int32(m.Seq-l.seq) > 0 {
+			l.seq, l.part = m.Seq, min(l.part, m.Part)
+		}
+	}
+}
+
+// expire ends what is over by time.
+func (b *Book) expire(p *pot, nowMs float64) {
+	p.loans = slices.DeleteFunc(p.loans, func(l loan) bool { return nowMs >= l.untilMs })
+	p.debts = slices.DeleteFunc(p.debts, func(d debt) bool { return nowMs >= d.untilMs })
+	p.asks = slices.DeleteFunc(p.asks, func(a ask) bool { return nowMs >= a.atMs+b.set.LeaseMs })
+}
+
+// balance asks for what is short, renews what is used, and gives back what is not.
+func (b *Book) balance(p *pot, nowMs float64) (out []Message) {
+	if nowMs < p.askedMs+b.set.AskMs || len(b.peers) == 0 {
+		return nil
+	}
+	held := b.held(p, nowMs)
+	short := p.short(nowMs, held)
+	spare := held - max(p.uses(nowMs), held-p.borrowed())
+	for i := range p.debts { // what is not used goes back, the latest lender's first
+		d := &p.debts[len(p.debts)-1-i]
+		if less := min(d.part, spare); less > grain*p.own {
+			out, spare = append(out, b.lower(p, d, d.part-less)), spare-less
+			p.askedMs = nowMs
+		}
+	}
+	p.debts = slices.DeleteFunc(p.debts, func(d debt) bool { return d.part <= 0 })
+	if len(out) > 0 {
+		return out
+	}
+	lacks := p.uses(nowMs) - max(0, p.own-p.lent())
+	for _, l := range p.loans {
+		if less := min(l.part, lacks); less > grain*p.own {
+			out = append(out, Message{Kind: Recall, Pot: p.id, Peer: l.peer, Life: b.set.Life, To: l.life, Part: l.part - less})
+			lacks -= less
+			p.askedMs = nowMs
+		}
+	}
+	for _, peer := range b.whom(p) {
+		have, ends := 0.0, math.Inf(1)
+		for _, d := range p.debts {
+			if d.peer == peer {
+				have, ends = have+d.part, min(ends, d.untilMs)
+			}
+		}
+		if short == 0 && !(have > 0 && ends-nowMs < b.set.LeaseMs/2) {
+			continue
+		}
+		p.seq++
+		p.asks = slices.DeleteFunc(p.asks, func(a ask) bool { return a.peer == peer })
+		p.asks = append(p.asks, ask{peer, p.seq, nowMs})
+		out = append(out, Message{Kind: Ask, Pot: p.id, Peer: peer, Life: b.set.Life, Seq: p.seq, Part: min(1, have+short)})
+		p.askedMs = nowMs
+	}
+	return out
+}
+
+// whom lists those to ask for parts of a pot: the gateways that its traffic comes through as far as they are known, and
+// a few of the others in turn until all are.
+func (b *Book) whom(p *pot) []uint16 {
+	peers := slices.Clone(p.known)
+	for range min(strangers, len(b.peers)) {
+		if len(p.known) >= p.hosts-1 {
+			break
+		}
+		if peer := b.peers[p.turn%len(b.peers)]; !slices.Contains(peers, peer) {
+			peers = append(peers, peer)
+		}
+		p.turn++
+	}
+	return peers
+}
+
+// forget drops pots that nobody has asked for and that owe nothing, so that their number stays that of those in use.
+func (b *Book) forget(nowMs float64) {
+	b.order = slices.DeleteFunc(b.order, func(id uint64) bool {
+		p := b.pots[id]
+		idle := nowMs-p.needAtMs > b.set.IdleMs && len(p.loans) == 0 && len(p.debts) == 0
+		if idle {
+			delete(b.pots, id)
+		}
+		return idle
+	})
+}
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -52,6 +52,8 @@
 	Settings *policy.Settings
 	// Devices makes it the front for devices on poor links: requests are copies of exchanges, told by X-Device-Id.
 	Devices bool
+	// Fleet answers what this gateway knows of its fleet; nil: it is in none.
+	Fleet   http.HandlerFunc
 	Gateway string // told to devices: another at each start
 	// Conns makes the front keep clients' connections free while stopping, once no new ones are to be expected.
 	Conns *Conns
@@ -112,6 +114,11 @@
 		}
 		io.WriteString(w, "ready\n")
 		return
+	case "/fleet":
+		if f.Fleet != nil {
+			f.Fleet(w, r)
+			return
+		}
 	case "/metrics":
 		if !f.Devices { // they are the operators'
 			f.Metrics.Print(w)
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+
+	"gaugerelay/internal/config"
+	"gaugerelay/internal/peer/fleet"
+)
+
+// peers is what this gateway shares with the others of its fleet.
+type peers struct {
+	base
+	g      *Gateway
+	listen string
+	fleet  *fleet.Fleet
+}
+
+func newPeers(g *Gateway, f *config.Fleet) (*peers, error) {
+	p := &peers{g: g}
+	listen, o, err := f.With(g.cfg)
+	if err != nil {
+		return nil, err
+	}
+	p.listen = listen
+	// Another at each start, also where the seed is the same: what an earlier life has been told or lent is its own.
+	o.Life, o.Seed = uint32(g.cfg.Seed)^uint32(int64(g.Clock.NowMs()))^uint32(os.Getpid())<<16, g.cfg.Seed
+	if p.fleet, err = fleet.New(o, g.Metrics, slog.New(slog.NewTextHandler(os.Stderr, nil))); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *peers) start(context.Context) error {
+	conn, err := net.ListenPacket("udp", p.listen)
+	if err != nil {
+		return err
+	}
+	p.fleet.Start(conn, p.g.loop)
+	log.Printf("%s: fleet on %s", p.g.cfg.Name, p.listen)
+	return nil
+}
+
+func (p *peers) stopping(float64) { p.g.loop.Post(p.fleet.Leave) }
+func (p *peers) end()             { p.fleet.End() }
+
+// show answers with what this gateway knows of its fleet.
+func (p *peers) show(w http.ResponseWriter, _ *http.Request) {
+	text := make(chan string, 1)
+	p.g.loop.Post(func(nowMs float64) {
+		var b strings.Builder
+		p.fleet.Show(&b, nowMs)
+		text <- b.String()
+	})
+	select {
+	case t := <-text:
+		w.Write([]byte(t))
+	case <-p.g.ctx.Done():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,11 +89,20 @@
 
 // New makes a gateway of its settings; nothing of it runs yet.
 func New(cfg *config.Config, edge *config.Edge, c clock.Clock, network Network) (*Gateway, error) {
-	scheduler, err := policy.New(cfg.Settings, cfg.Seed)
+	g := &Gateway{Clock: c, Metrics: metrics.New(), cfg: cfg, net: network, ended: make(chan error, 8)}
+	var others *peers
+	settings := cfg.Settings
+	if edge.Fleet != nil {
+		var err error
+		if others, err = newPeers(g, edge.Fleet); err != nil {
+			return nil, err
+		}
+		settings.Shares, settings.StartPart = true, others.fleet.StartPart()
+	}
+	scheduler, err := policy.New(settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{Clock: c, Metrics: metrics.New(), cfg: cfg, net: network, ended: make(chan error, 8)}
 	for _, class := range cfg.Settings.Classes {
 		g.longest = max(g.longest, class.Deadline)
 	}
@@ -101,7 +110,13 @@
 	g.back = httpcarrier.New(httpcarrier.Options{ConnectMs: cfg.ConnectMs, ConnIdleMs: cfg.ConnIdleMs,
 		MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields, Dial: network.Dial}, c, g.Metrics, g.loop)
 	g.watcher = discovery.New(cfg.Discovery, cfg.Known, c, g.Metrics, g.loop.Nodes, network.Dial)
-	g.parts = append(g.parts, newPlatform(g))
+	front := newPlatform(g)
+	if others != nil { // before the fronts: parts are known sooner, and are given back later
+		g.loop.SetFleet(others.fleet)
+		g.parts = append(g.parts, others)
+		front.front.Fleet = others.show
+	}
+	g.parts = append(g.parts, front)
 	if edge.Files != nil {
 		g.parts = append(g.parts, newFiles(g, edge.Files, edge.Devices))
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -107,6 +107,12 @@
 	l.core.SetDesk(make(l.core.Take))
 }
 
+// SetFleet gives the core what speaks with other gateways. It is called before Run.
+func (l *Loop) SetFleet(f core.Fleet) { l.core.SetFleet(f) }
+
+// Post calls f on the loop's goroutine.
+func (l *Loop) Post(f func(nowMs float64)) { l.post(f) }
+
 // After calls f on the loop's goroutine when ms have passed.
 func (l *Loop) After(ms float64, f func(nowMs float64)) (stop func()) {
 	return l.Clock.AfterFunc(ms, func() { l.post(f) })
--- /dev/null
+++ b/internal/peer/fleet/fleet.go
@@ -0,0 +1,270 @@
+// Package fleet is one gateway's side of what a fleet of gateways has agreed: it brings what others say to the pure
+// modules that decide, and sends what those have to say. All of it but the socket runs on the loop's goroutine.
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/netip"
+	"slices"
+
+	policy "gaugerelay"
+
+	"gaugerelay/internal/decide/members"
+	"gaugerelay/internal/decide/share"
+	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/peer/datagram"
+)
+
+// Options set up a fleet.
+type Options struct {
+	Self  uint16
+	Peers []netip.AddrPort // of all gateways, this one included, in the order of their numbers
+	Key   []byte
+	Life  uint32 // of this process
+	Seed  uint64
+
+	PeriodMs, TimeoutMs float64 // of probes
+	LeaseMs             float64
+	Drift               float64
+	Lends               float64
+	MostVolumes         int
+}
+
+// askEvery is how many asks for parts fit in a lease.
+const askEvery = 10
+
+// idleMs is how long a gateway lends of a volume's limit after the volume's last request here.
+const idleMs = 60_000
+
+// mostInbox bounds the messages of one step; what is beyond is lost, as datagrams may be.
+const mostInbox = 1024
+
+func (o Options) share() share.Settings {
+	return share.Settings{Self: o.Self, Life: o.Life, LeaseMs: o.LeaseMs, Drift: o.Drift, Lends: o.Lends, AskMs: o.LeaseMs / askEvery,
+		IdleMs: idleMs, MostPots: o.MostVolumes, MostPeers: min(len(o.Peers), 64)}
+}
+
+func (o Options) members() members.Settings {
+	s := members.Defaults(o.Self, len(o.Peers), o.Life, o.Seed)
+	s.PeriodMs, s.TimeoutMs = o.PeriodMs, o.TimeoutMs
+	return s
+}
+
+// Bounds are the times that the settings lead to.
+type Bounds struct {
+	DetectMs float64 // until a gateway that died is held for dead
+	PartMs   float64 // until what it had borrowed is back
+	HoldMs   float64 // until a gateway that starts has all of its own part
+}
+
+// Bounds are what holds for these options.
+func (o Options) Bounds() Bounds {
+	return Bounds{DetectMs: o.members().DetectMs(), PartMs: o.share().HoldMs(), HoldMs: o.share().HoldMs()}
+}
+
+// Loop is what the fleet asks of the loop.
+type Loop interface {
+	Post(f func(nowMs float64))
+	After(ms float64, f func(nowMs float64)) (stop func())
+}
+
+// Fleet is one gateway's side. Its methods but Start and End are called on the loop's goroutine.
+type Fleet struct {
+	opt     Options
+	codec   *datagram.Codec
+	metrics *metrics.Set
+	log     *slog.Logger
+	loop    Loop
+	socket  *datagram.Socket
+
+	members *members.Book
+	share   *share.Book
+	seen    []datagram.Seen
+	count   uint64
+	asked   []share.Demand
+	toM     []members.Message
+	toS     []share.Message
+	nextMs  float64
+	stop    func()
+}
+
+// New returns the side of a gateway that has just started, or an error if the options cannot be used.
+func New(o Options, m *metrics.Set, log *slog.Logger) (*Fleet, error) {
+	f := &Fleet{opt: o, codec: datagram.New(o.Key), metrics: m, log: log, seen: make([]datagram.Seen, len(o.Peers)), stop: func() {}}
+	var err error
+	if f.members, err = members.New(o.members()); err != nil {
+		return nil, err
+	}
+	if f.share, err = share.New(o.share()); err != nil {
+		return nil, err
+	}
+	f.share.Peers(f.members.Alive())
+	return f, nil
+}
+
+// StartPart is what a volume has of its even part until the fleet knows more.
+func (f *Fleet) StartPart() float64 { return 1 - f.opt.Lends }
+
+// Start begins to speak with the others.
+func (f *Fleet) Start(conn net.PacketConn, loop Loop) {
+	f.loop = loop
+	f.socket = datagram.Open(conn, f.metrics, func(b []byte) {
+		p, err := f.codec.Decode(b)
+		if err == nil && (int(p.From) >= len(f.seen) || p.From == f.opt.Self) {
+			err = datagram.ErrItem
+		}
+		if err != nil {
+			f.metrics.Add("fleet_datagrams_bad", 1)
+			return
+		}
+		loop.Post(func(float64) { f.take(p) })
+	})
+	loop.Post(func(nowMs float64) { f.nextMs = nowMs })
+}
+
+// End stops speaking.
+func (f *Fleet) End() {
+	if f.socket != nil {
+		f.socket.Close()
+	}
+}
+
+// Leave tells the others that this gateway goes.
+func (f *Fleet) Leave(float64) {
+	f.members.Leave()
+	f.nextMs = 0
+}
+
+func (f *Fleet) take(p datagram.Packet) {
+	if f.seen[p.From].Again(p.Life, p.Count) {
+		f.metrics.Add("fleet_datagrams_again", 1)
+		return
+	}
+	if len(f.toM)+len(f.toS) > mostInbox {
+		f.metrics.Add("fleet_datagrams_unread", 1)
+		return
+	}
+	f.metrics.Add("fleet_datagrams_taken", 1)
+	f.toM, f.toS = append(f.toM, p.Members...), append(f.toS, p.Share...)
+	f.nextMs = 0
+}
+
+// Demand implements core.Fleet. What is asked for travels with the next messages, at the latest a little later.
+func (f *Fleet) Demand(nowMs float64, d policy.Demand) {
+	if len(f.asked) < mostInbox {
+		f.asked = append(f.asked, share.Demand{Pot: uint64(d.Volume), Hosts: d.Hosts, Part: d.Part, Fresh: d.Fresh})
+	}
+	f.wake(nowMs, min(f.nextMs, nowMs+5))
+}
+
+// Until implements core.Fleet.
+func (f *Fleet) Until(v policy.VolumeID) float64 { return f.share.UntilMs(uint64(v)) }
+
+// Before implements core.Fleet.
+func (f *Fleet) Before(nowMs float64) (events []policy.Event) {
+	if nowMs < f.nextMs {
+		return nil
+	}
+	toM, toS, asked := f.toM, f.toS, f.asked
+	f.toM, f.toS, f.asked = nil, nil, nil
+	mOut, changes := f.members.Step(nowMs, toM)
+	for _, c := range changes {
+		f.metrics.Add("fleet_changes", 1)
+		if c.Taken {
+			f.log.Warn("fleet: another process has this gateway's number, or an earlier one had", "member", c.Member, "life", c.Life)
+			continue
+		}
+		f.log.Info("fleet: member", "member", c.Member, "state", stateNames[c.State], "life", c.Life)
+	}
+	if len(changes) > 0 {
+		f.share.Peers(f.members.Alive())
+	}
+	sOut, parts := f.share.Step(nowMs, asked, toS)
+	for _, p := range parts {
+		events = append(events, policy.Part{Volume: policy.VolumeID(p.Pot), Part: p.Part})
+		f.metrics.Add("fleet_parts_changed", 1)
+	}
+	f.send(mOut, sOut)
+	f.nextMs = math.Inf(1)
+	f.wake(nowMs, min(f.members.NextMs(), f.share.NextMs(nowMs)))
+	return events
+}
+
+var stateNames = [...]string{"alive", "suspect", "dead", "left"}
+
+// wake makes the loop step by the time that something is due.
+func (f *Fleet) wake(nowMs, atMs float64) {
+	if atMs >= f.nextMs && f.nextMs > nowMs {
+		return
+	}
+	f.stop()
+	f.nextMs = atMs
+	if f.loop != nil && !math.IsInf(atMs, 1) {
+		f.stop = f.loop.After(max(1, atMs-nowMs), func(float64) {}) // the step that follows calls Before
+	}
+}
+
+// send makes datagrams of what goes to each member.
+func (f *Fleet) send(mOut []members.Message, sOut []share.Message) {
+	if f.socket == nil {
+		return
+	}
+	var to []uint16
+	packets := map[uint16]*datagram.Packet{}
+	packet := func(peer uint16) *datagram.Packet {
+		if packets[peer] == nil {
+			packets[peer] = &datagram.Packet{From: f.opt.Self, Life: f.opt.Life}
+			to = append(to, peer)
+		}
+		return packets[peer]
+	}
+	for _, m := range mOut {
+		p := packet(m.Peer)
+		p.Members = append(p.Members, m)
+	}
+	for _, m := range sOut {
+		p := packet(m.Peer)
+		p.Share = append(p.Share, m)
+	}
+	for _, peer := range to {
+		if int(peer) >= len(f.opt.Peers) {
+			continue
+		}
+		for _, b := range f.codec.Encode(*packets[peer], &f.count) {
+			f.socket.Send(f.opt.Peers[peer], b)
+		}
+	}
+}
+
+// Show writes what this gateway knows, for operators.
+func (f *Fleet) Show(w io.Writer, nowMs float64) {
+	bounds := f.opt.Bounds()
+	fmt.Fprintf(w, "self %d life %08x\nbound detect_ms %.0f\nbound part_back_ms %.0f\nbound start_hold_ms %.0f\n",
+		f.opt.Self, f.opt.Life, bounds.DetectMs, bounds.PartMs, bounds.HoldMs)
+	for i := range f.opt.Peers {
+		fmt.Fprintf(w, "member %d %s %s\n", i, f.opt.Peers[i], stateNames[f.members.State(uint16(i))])
+	}
+	for _, pot := range f.share.Pots() {
+		lent, borrowed := f.share.Lent(pot)
+		fmt.Fprintf(w, "volume %016x held %.4f lent %.4f borrowed %.4f\n", pot, f.share.Held(nowMs, pot), lent, borrowed)
+	}
+}
+
+// Parse reads the addresses of gateways.
+func Parse(addrs []string) (out []netip.AddrPort, err error) {
+	for _, a := range addrs {
+		at, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, fmt.Errorf("peer %q is not an address and a port", a)
+		}
+		if slices.Contains(out, at) {
+			return nil, fmt.Errorf("peer %q is there twice", a)
+		}
+		out = append(out, at)
+	}
+	return out, nil
+}
--- a/internal/standin/deployments/node.go
+++ b/internal/standin/deployments/node.go
@@ -1,6 +1,7 @@
 package deployments
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -82,11 +83,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	a := w.arrived(inst, g, req, id, first)
+	context.AfterFunc(r.Context(), func() { // given up, or answered
+		w.mu.Lock()
+		a.out = false
+		w.mu.Unlock()
+	})
 	full := inst.waiting >= 30 || inst.drains || req.shard >= 0 && req.shard != inst.shard
 	draw, noise := w.rnd.Float64(), 0.3+1.4*w.rnd.Float64()
 	frozen := inst.frozen
 	if full {
-		a.ran = false
+		a.ran, a.out = false, false
 		w.res.Turned++
 		w.mu.Unlock()
 		rw.Header().Set("X-Unprocessed", "1")
@@ -178,7 +184,7 @@
 	if len(req.arrivals) >= w.d.Attempts {
 		w.broken("%s: attempt %d of %d", id, len(req.arrivals)+1, w.d.Attempts)
 	}
-	a := &arrival{at: now, inst: inst, ran: true}
+	a := &arrival{at: now, inst: inst, ran: true, out: true}
 	for _, p := range req.arrivals {
 		if !p.ran {
 			continue
@@ -194,6 +200,18 @@
 			w.broken("%s: sent again outside its %s", id, c.KeyScope)
 		}
 	}
+	for _, p := range req.arrivals {
+		if p.out { // the end of its connection may be on its way
+			w.wg.Go(func() {
+				time.Sleep(slack)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if p.out {
+					w.broken("%s: sent to %s while it is out at %s", id, inst.name, p.inst.name)
+				}
+			})
+		}
+	}
 	if len(req.arrivals) == 0 {
 		w.takeLimit(req, id, now)
 	}
--- a/internal/standin/deployments/world.go
+++ b/internal/standin/deployments/world.go
@@ -92,6 +92,7 @@
 	at   time.Time
 	inst *instance
 	ran  bool // or may have
+	out  bool // the node works on it, and its connection is open
 }
 
 // Play plays a deployment; it must run in a bubble.
@@ -118,8 +119,10 @@
 	w.wg.Wait()
 	time.Sleep(8 * time.Second)
 	for _, g := range w.gates {
-		w.crashed(g.n, g.g)
-		g.g.Kill()
+		if g.g != nil {
+			w.crashed(g.n, g.g)
+			g.g.Kill()
+		}
 		g.discovery.Close()
 	}
 	w.mu.Lock()
@@ -276,7 +279,10 @@
 		err = young.Start()
 	}
 	if err != nil {
-		panic(err) // nothing can be played
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.res.Crashed++
+		w.broken("gateway %d does not start: %v", g.n, err)
 	}
 }
 
@@ -365,6 +371,9 @@
 				g.killed = true
 				old := g.g
 				w.mu.Unlock()
+				if old == nil {
+					return // it did not start
+				}
 				w.crashed(g.n, old)
 				old.Kill()
 				time.Sleep(time.Duration(away * float64(time.Second)))
@@ -376,6 +385,9 @@
 				g.stopping = time.Now()
 				old := g.g
 				w.mu.Unlock()
+				if old == nil {
+					return
+				}
 				w.crashed(g.n, old)
 				old.Stop()
 				w.start(g)
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// binary builds the real program.
+func binary(t *testing.T) string {
+	t.Helper()
+	at := filepath.Join(t.TempDir(), "gaugerelay")
+	if out, err := exec.Command("go", "build", "-o", at, "gaugerelay/cmd/gaugerelay").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return at
+}
+
+// Processes of the real program, with faults between them and into them: what must never be is counted at nodes and
+// clients. All scenarios are played, in a fifth of their time; `make fleet-soak` plays them in full.
+func TestFleetKeepsItsRules(t *testing.T) {
+	if testing.Short() {
+		t.Skip("several processes")
+	}
+	var out strings.Builder
+	res, err := Run(Options{Binary: binary(t), Gateways: 3, Hosts: 3, Volumes: 2, Shards: 2, Seed: 1, Fleet: true, LeaseMs: 300, Part: 0.2},
+		0, "", &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s%+v", out.String(), res)
+	for _, b := range res.Broken {
+		t.Error(b)
+	}
+	if res.Served < 50 || res.Refused == 0 || res.Kills < 3 || res.Pauses < 2 || res.Datagrams < 50 {
+		t.Error("too little happened to show anything")
+	}
+}
+
+// What the rig counts as broken is seen: a program that ends by itself, and units over a limit.
+func TestRigSeesWhatIsBroken(t *testing.T) {
+	at := filepath.Join(t.TempDir(), "ends")
+	if err := os.WriteFile(at, []byte("#!/bin/sh\nexit 3\n"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Start(Options{Binary: at, Gateways: 1, Hosts: 1, Shards: 1, Seed: 1}); err == nil || !strings.Contains(err.Error(), "ended by itself") {
+		t.Errorf("a program that ends: %v", err)
+	}
+	p, err := newPlatform(1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	r := &Rig{platform: p, opt: Options{Hosts: 1}}
+	for range int(limitStore(1))/6 + 4 {
+		p.take(7, 6)
+	}
+	if res := r.Result(); res.OverLimit != 1 || res.WorstOver < 10 || len(res.Broken) == 0 {
+		t.Errorf("units over a limit: %+v", res)
+	}
+}
+
+// A link does what it is told to, each way on its own.
+func TestLinks(t *testing.T) {
+	to, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Close()
+	p, err := newProxy(to.LocalAddr(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.conn.Close()
+	from, err := net.Dial("udp", p.conn.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer from.Close()
+	buf := make([]byte, 100)
+	for _, c := range []struct {
+		name  string
+		link  Link
+		times int
+		same  bool
+	}{{"well", Link{}, 1, true}, {"twice", Link{Twice: 1}, 2, true}, {"flipped", Link{Flip: 1}, 1, false}, {"late", Link{DelayMs: 1, JitterMs: 1}, 1, true}} {
+		p.set(c.link)
+		from.Write([]byte("datagram"))
+		for range c.times {
+			to.SetReadDeadline(time.Now().Add(10 * time.Second))
+			n, _, err := to.ReadFrom(buf)
+			if err != nil || (string(buf[:n]) == "datagram") != c.same {
+				t.Errorf("%s: %q, %v", c.name, buf[:n], err)
+			}
+		}
+	}
+	for _, l := range []Link{{Cut: true}, {Loss: 1}} {
+		p.set(l)
+		from.Write([]byte("lost"))
+		for passed := false; !passed; { // it has been read, and dropped
+			p.mu.Lock()
+			passed = p.link.troubled >= 3
+			p.mu.Unlock()
+		}
+		p.mu.Lock()
+		p.link.troubled = 2
+		p.mu.Unlock()
+	}
+	p.set(Link{})
+	from.Write([]byte("again"))
+	if n, _, err := to.ReadFrom(buf); err != nil || string(buf[:n]) != "again" {
+		t.Errorf("behind a cut: %q, %v", buf[:n], err)
+	}
+}
+
+// A process that was away between two moments is known to have been.
+func TestAway(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	p := &process{away: []span{{at(10), at(20)}, {at(30), time.Time{}}}}
+	for _, c := range []struct {
+		from, to int
+		want     bool
+	}{{1, 9, false}, {1, 11, true}, {12, 13, true}, {19, 25, true}, {21, 29, false}, {25, 31, true}, {99, 100, true}} {
+		if got := p.troubled(at(c.from), at(c.to)); got != c.want {
+			t.Errorf("%d to %d: %v", c.from, c.to, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/link.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Link is what happens to datagrams on their way from one gateway to another. The zero value is a good link.
+type Link struct {
+	Cut              bool
+	Loss, Twice      float64 // parts
+	Flip             float64 // part in which a bit is another
+	DelayMs          float64
+	JitterMs         float64 // up to so much more: what is later may come sooner
+	passed, troubled int
+}
+
+// proxy carries datagrams one way.
+type proxy struct {
+	conn net.PacketConn
+	to   net.Addr
+	mu   sync.Mutex
+	rnd  *rand.Rand
+	link Link
+}
+
+func newProxy(to net.Addr, seed uint64) (*proxy, error) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{conn: conn, to: to, rnd: rand.New(rand.NewPCG(seed, 41))}
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) set(l Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.passed, l.troubled = p.link.passed, p.link.troubled
+	p.link = l
+}
+
+func (p *proxy) run() {
+	buf := make([]byte, 2048)
+	for {
+		n, _, err := p.conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		l, times := &p.link, 1
+		draw := p.rnd.Float64()
+		switch {
+		case l.Cut || draw < l.Loss:
+			times = 0
+		case draw < l.Loss+l.Twice:
+			times = 2
+		}
+		b := append([]byte(nil), buf[:n]...)
+		if p.rnd.Float64() < l.Flip {
+			b[p.rnd.IntN(n)] ^= 1 << p.rnd.IntN(8)
+			l.troubled++
+		}
+		if times != 1 {
+			l.troubled++
+		}
+		l.passed += times
+		for range times {
+			late := l.DelayMs + l.JitterMs*p.rnd.Float64()
+			if late == 0 {
+				p.conn.WriteTo(b, p.to)
+				continue
+			}
+			time.AfterFunc(time.Duration(late*float64(time.Millisecond)), func() { p.conn.WriteTo(b, p.to) })
+		}
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/rig.go
@@ -0,0 +1,397 @@
+// Package fleet starts several processes of the real program on loopback, with stand-ins for nodes, the list of nodes
+// and clients, injects faults between the gateways and into them, and counts at the nodes and the clients what must
+// never be. It knows a gateway by its command line, its ports and its answers only.
+//
+// A scenario is plain Go with a seed. The schedule that the seed draws is printed, so that it can be played again.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Options are a run.
+type Options struct {
+	Binary   string // of the gateway
+	Gateways int
+	Hosts    int // gateways through which each volume's requests come
+	Volumes  int
+	Shards   int
+	Seed     uint64
+	Fleet    bool // whether gateways speak with each other
+	LeaseMs  float64
+	Part     float64 // how long each scenario lasts, as a part of its own time; 0: whole
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Kills, Pauses, Partitions int
+	Served, Refused, Failed   int
+	ServedUnits               float64
+	Lost, Doubled, Crashed    int
+	OverLimit                 int     // volumes whose store fell below the rule's slack
+	WorstOver                 float64 // units below an empty store at the worst
+	BoundOver                 float64 // what the rule allows
+	Datagrams                 int
+	Broken                    []string
+}
+
+// Rig is a running fleet.
+type Rig struct {
+	opt      Options
+	platform *platform
+	gates    []*process
+	links    [][]*proxy // from, to
+	rnd      *rand.Rand
+	log      *logs
+	dir      string
+
+	mu   sync.Mutex
+	res  Result
+	lead []int // of each volume: which of its hosts has most of its traffic
+	load float64
+	stop chan struct{}
+	all  sync.WaitGroup
+	next int
+}
+
+// Start starts a fleet.
+func Start(o Options) (r *Rig, err error) {
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return nil, err
+	}
+	r = &Rig{opt: o, rnd: rand.New(rand.NewPCG(o.Seed, 42)), log: &logs{began: time.Now()}, dir: dir, lead: make([]int, o.Volumes),
+		load: 1.4, stop: make(chan struct{})}
+	defer func() {
+		if err != nil {
+			r.Close()
+		}
+	}()
+	if r.platform, err = newPlatform(o.Shards, o.Hosts); err != nil {
+		return r, err
+	}
+	for i := range o.Gateways {
+		p := &process{n: i, name: fmt.Sprintf("n%d", i), binary: o.Binary, log: r.log}
+		if p.listen, err = freePort("tcp"); err != nil {
+			return r, err
+		}
+		if p.peerAt, err = freePort("udp"); err != nil {
+			return r, err
+		}
+		r.gates = append(r.gates, p)
+	}
+	if err = r.connect(); err != nil {
+		return r, err
+	}
+	for i, p := range r.gates {
+		config, err := r.platform.config(p.name, p.listen, i, o.Gateways)
+		if err != nil {
+			return r, err
+		}
+		var edge map[string]any
+		if o.Fleet {
+			peers := []string{}
+			for j := range r.gates {
+				at := r.gates[j].peerAt
+				if j != i {
+					at = r.links[i][j].conn.LocalAddr().String()
+				}
+				peers = append(peers, at)
+			}
+			edge = map[string]any{"fleet": map[string]any{"listen": p.peerAt, "self": i, "peers": peers, "key": "of this run",
+				"period_ms": 200, "lease_ms": o.LeaseMs}}
+		}
+		if err := p.files(filepath.Join(dir, p.name), config, edge); err != nil {
+			return r, err
+		}
+		if err := p.start(); err != nil {
+			return r, err
+		}
+	}
+	for v := range o.Volumes {
+		r.all.Go(func() { r.traffic(v) })
+	}
+	return r, nil
+}
+
+// freePort finds one that is free now.
+func freePort(network string) (string, error) {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer c.Close()
+		return c.LocalAddr().String(), nil
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// connect puts a proxy between each gateway and each other, each way.
+func (r *Rig) connect() error {
+	for i := range r.gates {
+		var row []*proxy
+		for j, to := range r.gates {
+			if i == j {
+				row = append(row, nil)
+				continue
+			}
+			at, err := net.ResolveUDPAddr("udp", to.peerAt)
+			if err != nil {
+				return err
+			}
+			p, err := newProxy(at, r.opt.Seed<<16+uint64(i<<8+j))
+			if err != nil {
+				return err
+			}
+			row = append(row, p)
+		}
+		r.links = append(r.links, row)
+	}
+	return nil
+}
+
+// Close ends all that was started.
+func (r *Rig) Close() {
+	select {
+	case <-r.stop:
+	default:
+		close(r.stop)
+	}
+	r.all.Wait()
+	for _, p := range r.gates {
+		if p.cmd != nil && p.alive() {
+			p.kill()
+		}
+	}
+	for _, row := range r.links {
+		for _, p := range row {
+			if p != nil {
+				p.conn.Close()
+			}
+		}
+	}
+	if r.platform != nil {
+		r.platform.close()
+	}
+	os.RemoveAll(r.dir)
+}
+
+// Result is what has been counted so far.
+func (r *Rig) Result() Result {
+	r.platform.mu.Lock()
+	defer r.platform.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := r.res
+	res.Broken = append([]string(nil), r.res.Broken...)
+	slack := max(mostUnits, 0.1*limitStore(r.opt.Hosts))
+	res.BoundOver = slack + limitRate*slackMs/1000
+	for v, s := range r.platform.stores {
+		res.WorstOver = max(res.WorstOver, -s.worst)
+		if -s.worst > res.BoundOver {
+			res.OverLimit++
+			res.Broken = append(res.Broken, fmt.Sprintf("volume %x: %.1f units over its limit, %.1f are allowed", v, -s.worst, res.BoundOver))
+		}
+	}
+	res.Doubled = r.platform.doubled
+	if res.Doubled > 0 {
+		res.Broken = append(res.Broken, fmt.Sprintf("%d requests of a class that must never run twice came to nodes again", res.Doubled))
+	}
+	for _, row := range r.links {
+		for _, p := range row {
+			if p != nil {
+				p.mu.Lock()
+				res.Datagrams += p.link.passed
+				p.mu.Unlock()
+			}
+		}
+	}
+	return res
+}
+
+// ---- faults ----
+
+// each calls f for each link, with its two ends.
+func (r *Rig) each(f func(from, to int) Link) {
+	for i, row := range r.links {
+		for j, p := range row {
+			if p != nil {
+				p.set(f(i, j))
+			}
+		}
+	}
+}
+
+func (r *Rig) partition(side func(g int) bool, oneWay bool) {
+	r.count(func(res *Result) { res.Partitions++ })
+	r.log.add("(partition, one way %v)", oneWay)
+	r.each(func(from, to int) Link {
+		return Link{Cut: side(from) != side(to) && (!oneWay || side(from))}
+	})
+}
+
+func (r *Rig) heal() {
+	r.log.add("(links are well)")
+	r.each(func(int, int) Link { return Link{} })
+}
+
+func (r *Rig) kill(g int) {
+	r.count(func(res *Result) { res.Kills++ })
+	r.gates[g].kill()
+}
+
+func (r *Rig) restart(g int) {
+	if err := r.gates[g].start(); err != nil {
+		r.broken("%v", err)
+	}
+}
+
+func (r *Rig) pause(g int, d time.Duration) {
+	r.count(func(res *Result) { res.Pauses++ })
+	r.gates[g].signal(syscall.SIGSTOP)
+	r.wait(d)
+	r.gates[g].signal(syscall.SIGCONT)
+}
+
+// shift gives the lead of each volume to the next of its hosts.
+func (r *Rig) shift() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for v := range r.lead {
+		r.lead[v] = (r.lead[v] + 1) % r.opt.Hosts
+	}
+}
+
+// wait waits, for a part of the time where the run is to be short.
+func (r *Rig) wait(d time.Duration) {
+	if r.opt.Part > 0 {
+		d = time.Duration(float64(d) * r.opt.Part)
+	}
+	select {
+	case <-r.stop:
+	case <-time.After(d):
+	}
+}
+
+func (r *Rig) count(f func(*Result)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.res)
+}
+
+func (r *Rig) broken(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.log.add("BROKEN: %s", text)
+	r.count(func(res *Result) { res.Broken = append(res.Broken, text) })
+}
+
+// Last is the merged log's end.
+func (r *Rig) Last(n int) string { return strings.Join(r.log.last(n), "\n") }
+
+// ---- clients ----
+
+// hosts are the gateways through which a volume's requests come.
+func (r *Rig) hosts(v int) (gates []*process) {
+	for i := range r.opt.Hosts {
+		gates = append(gates, r.gates[(v+i)%len(r.gates)])
+	}
+	return gates
+}
+
+// traffic is a volume's: load times its limit, nearly all through the gateway that has the lead.
+func (r *Rig) traffic(v int) {
+	rnd := rand.New(rand.NewPCG(r.opt.Seed, uint64(100+v)))
+	volume := uint64(0xb000 + v)
+	hosts := r.hosts(v)
+	var clients []*http.Client
+	for range hosts {
+		clients = append(clients, &http.Client{Timeout: deadlineMs*time.Millisecond + time.Second,
+			Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
+	}
+	for {
+		r.mu.Lock()
+		load, lead := r.load, r.lead[v]
+		r.mu.Unlock()
+		gap := time.Duration(rnd.ExpFloat64() / (load * limitRate / meanUnits) * float64(time.Second))
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(gap):
+		}
+		g := lead
+		if rnd.IntN(20) == 0 {
+			g = rnd.IntN(len(hosts))
+		}
+		units := 1 + rnd.IntN(3)
+		if rnd.IntN(25) == 0 {
+			units = int(mostUnits)
+		}
+		r.mu.Lock()
+		r.next++
+		id := requestID(volume, units, r.next)
+		r.mu.Unlock()
+		shard := rnd.IntN(r.opt.Shards)
+		r.all.Go(func() { r.ask(clients[g], hosts[g], volume, units, shard, id) })
+	}
+}
+
+func (r *Rig) ask(c *http.Client, g *process, volume uint64, units, shard int, id string) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprintf("http://%s/pull/%016x", g.listen, volume), nil)
+	if err != nil {
+		return
+	}
+	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "pull", "X-Plan": "basic",
+		"X-Time-Left-Ms": strconv.Itoa(deadlineMs),
+		"X-IO":           fmt.Sprintf("volume=%016x,units=%d,shard=%d,hosts=%d", volume, units, shard, r.opt.Hosts)} {
+		req.Header.Set(k, v)
+	}
+	began := time.Now()
+	resp, err := c.Do(req)
+	var text []byte
+	if err == nil {
+		text, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	ended := time.Now()
+	if err != nil {
+		if !g.troubled(began.Add(-50*time.Millisecond), ended) && !strings.Contains(err.Error(), "refused") {
+			r.broken("%s: %s lost after %v: %v", id, g.name, ended.Sub(began), err)
+			r.count(func(res *Result) { res.Lost++ })
+		}
+		return
+	}
+	r.count(func(res *Result) {
+		switch {
+		case resp.StatusCode == http.StatusOK && strings.HasPrefix(string(text), id+" "):
+			res.Served++
+			res.ServedUnits += float64(units)
+		case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+			res.Refused++
+		case resp.StatusCode >= 500:
+			res.Failed++
+		default:
+			res.Broken = append(res.Broken, fmt.Sprintf("%s: answered %d %.40q", id, resp.StatusCode, text))
+		}
+	})
+	if late := ended.Sub(began) - deadlineMs*time.Millisecond; late > 500*time.Millisecond && !g.troubled(began.Add(-50*time.Millisecond), ended) {
+		r.broken("%s: answered %v late", id, late)
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/scenarios.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+)
+
+// Scenario is something that happens to a fleet. It ends with all gateways up and all links well.
+type Scenario struct {
+	Name string
+	Play func(r *Rig)
+}
+
+// Scenarios are played in this order.
+var Scenarios = []Scenario{
+	{"calm: the lead changes", func(r *Rig) {
+		for range 3 {
+			r.wait(4 * time.Second)
+			r.shift()
+		}
+	}},
+	{"halves cut off from each other, both at the limit", func(r *Rig) {
+		r.partition(func(g int) bool { return g%2 == 0 }, false)
+		r.wait(time.Second)
+		r.shift()
+		r.wait(2 * time.Second)
+		r.heal()
+		r.wait(time.Second)
+	}},
+	{"cut one way, then the other", func(r *Rig) {
+		for way := range 2 {
+			r.partition(func(g int) bool { return (g == 0) == (way == 0) }, true)
+			r.wait(1500 * time.Millisecond)
+			r.shift()
+		}
+		r.heal()
+		r.wait(500 * time.Millisecond)
+	}},
+	{"a fifth is lost, a fifth comes twice, bits flip, order changes", func(r *Rig) {
+		r.each(func(int, int) Link { return Link{Loss: 0.2, Twice: 0.2, Flip: 0.1, DelayMs: 5, JitterMs: 120} })
+		for range 3 {
+			r.wait(1200 * time.Millisecond)
+			r.shift()
+		}
+		r.heal()
+	}},
+	{"acknowledgements are lost: grants do not come", func(r *Rig) {
+		r.each(func(from, to int) Link { return Link{Cut: from > to, DelayMs: 3} })
+		r.shift()
+		r.wait(2 * time.Second)
+		r.heal()
+		r.wait(500 * time.Millisecond)
+	}},
+	{"a lender and a borrower killed, started anew", func(r *Rig) {
+		for range 3 {
+			g := r.rnd.IntN(len(r.gates))
+			r.kill(g)
+			r.wait(time.Duration(100+r.rnd.IntN(900)) * time.Millisecond)
+			r.restart(g)
+			r.shift()
+			r.wait(700 * time.Millisecond)
+		}
+	}},
+	{"a holder paused beyond its lease, woken with a full inbox", func(r *Rig) {
+		for range 2 {
+			g := r.rnd.IntN(len(r.gates))
+			r.shift()
+			r.wait(800 * time.Millisecond)
+			r.pause(g, time.Duration(2.5*r.opt.LeaseMs)*time.Millisecond)
+			r.wait(700 * time.Millisecond)
+		}
+	}},
+	{"most of the fleet killed at once", func(r *Rig) {
+		n := max(1, len(r.gates)*7/10)
+		for g := range n {
+			r.kill(g)
+		}
+		r.wait(time.Second)
+		for g := range n {
+			r.restart(g)
+		}
+		r.wait(time.Second)
+	}},
+	{"all peers silent", func(r *Rig) {
+		r.count(func(res *Result) { res.Partitions++ })
+		r.each(func(int, int) Link { return Link{Cut: true} })
+		r.shift()
+		r.wait(2500 * time.Millisecond)
+		r.heal()
+		r.wait(500 * time.Millisecond)
+	}},
+	{"told to end one after the other, under load", func(r *Rig) {
+		for g := range min(2, len(r.gates)) {
+			r.gates[g].stop()
+			r.restart(g)
+			r.wait(300 * time.Millisecond)
+		}
+	}},
+	{"paused and killed while cut off", func(r *Rig) {
+		r.partition(func(g int) bool { return g == 1 }, false)
+		r.shift()
+		r.wait(500 * time.Millisecond)
+		r.gates[0].signal(syscall.SIGSTOP)
+		r.wait(time.Second)
+		r.kill(1)
+		r.gates[0].signal(syscall.SIGCONT)
+		r.count(func(res *Result) { res.Pauses++ })
+		r.wait(300 * time.Millisecond)
+		r.restart(1)
+		r.heal()
+		r.wait(time.Second)
+	}},
+	{"a partition heals ten times", func(r *Rig) {
+		for i := range 10 {
+			r.partition(func(g int) bool { return g <= i%3 }, i%4 == 3)
+			r.wait(200 * time.Millisecond)
+			r.heal()
+			r.wait(200 * time.Millisecond)
+			if i%3 == 2 {
+				r.shift()
+			}
+		}
+	}},
+}
+
+// Run plays scenarios in turn until the time is over, all of them at least once where that is zero, and tells what must
+// never be. One that breaks a rule ends the run, with what the processes wrote around it.
+func Run(o Options, long time.Duration, only string, out io.Writer) (Result, error) {
+	var play []Scenario
+	for _, s := range Scenarios {
+		if only == "" || s.Name == only {
+			play = append(play, s)
+		}
+	}
+	if len(play) == 0 {
+		return Result{}, fmt.Errorf("there is no scenario %q", only)
+	}
+	r, err := Start(o)
+	if err != nil {
+		return Result{}, err
+	}
+	defer r.Close()
+	began := time.Now()
+	for turn := 0; long == 0 && turn < len(play) || time.Since(began) < long; turn++ {
+		s := play[turn%len(play)]
+		before := r.Result()
+		r.log.add("(scenario: %s)", s.Name)
+		s.Play(r)
+		for _, p := range r.gates {
+			if !p.alive() {
+				r.broken("%s has ended by itself", p.name)
+				r.count(func(res *Result) { res.Crashed++ })
+				r.restart(p.n)
+			}
+		}
+		after := r.Result()
+		fmt.Fprintf(out, "%-66s served %5d units, refused %4d; worst %5.1f units over, bound %.1f\n", s.Name,
+			int(after.ServedUnits-before.ServedUnits), after.Refused-before.Refused, after.WorstOver, after.BoundOver)
+		if len(after.Broken) > 0 {
+			fmt.Fprintf(out, "seed %d, the end of the merged log:\n%s\n", o.Seed, r.Last(60))
+			break
+		}
+	}
+	return r.Result(), nil
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -144,6 +144,10 @@
 			}
 		case Ending:
 			s.curtail(e.At)
+		case Part:
+			if v := s.volumes[e.Volume]; v != nil {
+				v.limitTo(s.now, e.Part)
+			}
 		case Wake:
 			if s.now >= s.wakeAt {
 				s.wakeSet = false
@@ -344,6 +348,9 @@
 		r.vol.asks.take(s.now, usual)
 		r.shard.ask(s.now, s.set.RampTime, usual)
 	}
+	if s.set.Shares && plan.Limit > 0 && r.vol.wants(s.now, a.Units) {
+		s.do(r.vol.demand(a.Volume))
+	}
 	s.reqs[a.ID] = r
 	heap.Push(&s.expiries, expiry{r.expiry, r})
 	if s.inTurn(r) {
@@ -402,13 +409,13 @@
 		v.usual.level = v.usual.most
 		v.asks.set(plan.Rate/hosts, plan.Rate/hosts+s.set.MeanUnits, s.now)
 		v.asks.level = v.asks.most
-		v.limit.set(plan.Limit/hosts, plan.LimitCap/hosts, s.openedAt)
+		v.limit.set(plan.Limit/hosts*s.set.StartPart, plan.LimitCap/hosts*s.set.StartPart, s.openedAt)
 		s.volumes[a.Volume] = v
 	}
 	if hosts > v.hosts { // told of through another front, with more gateways: each one's part is less
 		v.hosts = hosts
 		v.limit.at(s.now)
-		v.limit.rate, v.limit.most = plan.Limit/hosts, plan.LimitCap/hosts
+		v.limit.rate, v.limit.most = min(v.limit.rate, plan.Limit/hosts), min(v.limit.most, plan.LimitCap/hosts)
 	}
 	v.askedAt = s.now
 	s.deal(v)
@@ -530,17 +537,6 @@
 	return silent, silent && float64(s.now-n.lastSend) > every
 }
 
-// oldest is the oldest attempt that is out and not given up.
-func (n *node) oldest() *try {
-	for len(n.out) > 0 && (n.out[0].closed || n.out[0].lost) {
-		n.out = n.out[1:]
-	}
-	if len(n.out) == 0 {
-		return nil
-	}
-	return n.out[0]
-}
-
 // sweep finds attempts that their node has passed over: it has answered one sent clearly later. Such an
 // attempt leaves the window. It guards against lost answers, cut links and stuck requests; it could do
 // harm where a node serves out of turn for long.
--- a/settings.go
+++ b/settings.go
@@ -38,6 +38,9 @@
 	if set.FallWindow <= 0 { // over no time there is no rule on cold nodes
 		set.FallMultiple = 0
 	}
+	if !(set.StartPart > 0 && set.StartPart < 1) || !set.Shares {
+		set.StartPart = 1
+	}
 	set.StartCapacity = max(set.StartCapacity, leastStart)
 	return set, nil
 }
