Gateways tell each other which nodes fail or drain; TCP faults and a liar in the rig

Need: each gateway learns alone which node fails, and asks a node that drains until its own list says so.

internal/decide/verdict: a finding counts only from the one that found it, while it is fresh; two gateways and a third of those alive have to find the same, a third of the nodes is out at most, and never at a gateway that the node serves well. The module gives such a node one request in 0.4 s (Shun). What is found travels in the fleet's datagrams.

The rig: a proxy for connections, each way on its own; a gateway that has the key and lies; nodes that fail for all, for one, and that drain unheard of; one gateway without fleet. Share: 300 gateways with losses on one clock; asks go to those who are alive.

--- a/api.go
+++ b/api.go
@@ -224,6 +224,13 @@
 	Part   float64 // of the whole, over all gateways
 }
 
+// Shun tells that several gateways find a node failing, or have heard that it drains or is gone. What goes there from
+// now on goes one request at a time, with such a rest between them; it is told again as long as it holds.
+type Shun struct {
+	Node NodeID
+	Rest time.Duration
+}
+
 // Wake is the return of a WakeAt.
 type Wake struct{}
 
@@ -235,6 +242,7 @@
 func (Probed) event()   {}
 func (Ending) event()   {}
 func (Part) event()     {}
+func (Shun) event()     {}
 func (Wake) event()     {}
 
 // Action is something the gateway must now do. Actions are carried out in order.
--- a/books.go
+++ b/books.go
@@ -161,6 +161,8 @@
 	took      time.Duration // and how long that took
 	newest    time.Duration // when the youngest attempt that it answered was sent
 	holdUntil time.Duration // nothing is sent before
+	rest      time.Duration // between two requests
+	restTill  time.Duration // as long as several gateways find it failing
 	failures  int           // failed connects in a row
 	turned    int           // attempts in a row that it turned away
 	warming   bucket        // units that it may be sent while cold
--- a/cmd/gaugerelay/main_test.go
+++ b/cmd/gaugerelay/main_test.go
@@ -257,3 +257,25 @@
 func configFile(cmd *exec.Cmd) string {
 	return strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "ROUTER_CONFIG=")
 }
+
+// A gateway in a fleet shows what it knows of it; one in none says so, and off means that nothing listens.
+func TestFleetShow(t *testing.T) {
+	edge := filepath.Join(t.TempDir(), "edge.jsonc")
+	if err := os.WriteFile(edge, []byte(`{"fleet":{"listen":"127.0.0.1:0","self":0,"peers":["127.0.0.1:9","127.0.0.1:10"]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	show := func(addr string) (string, error) {
+		out, err := program(t, "", "fleet", "show", addr).Output()
+		return string(out), err
+	}
+	_, until := started(t, fmt.Sprintf(settings, "127.0.0.1:0", "127.0.0.1:1"), "--edge", edge)
+	until("fleet on")
+	text, err := show(after(until("listening on")))
+	if err != nil || !strings.Contains(text, "member 1 127.0.0.1:10 alive") || !strings.Contains(text, "bound part_back_ms 2040") {
+		t.Errorf("%q, %v", text, err)
+	}
+	_, until = started(t, fmt.Sprintf(settings, "127.0.0.1:0", "127.0.0.1:1"))
+	if text, err := show(after(until("listening on"))); err == nil {
+		t.Errorf("a gateway in no fleet shows %q", text)
+	}
+}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -255,3 +255,43 @@
 		t.Errorf("without sharing %v units a second, up to %v", v.limit.rate, v.limit.most)
 	}
 }
+
+// A node that several gateways find failing gets one request in a rest, and new objects go elsewhere, for as long as that
+// is told.
+func TestAShunnedNodeIsTriedALittle(t *testing.T) {
+	g := newGate(t, nil)
+	const rest = 400 * ms
+	sends := map[NodeID]int{}
+	play := func(d time.Duration, shun bool) {
+		clear(sends)
+		for end := g.now + d; g.now < end; {
+			events := []Event{Wake{}}
+			if shun {
+				events = append(events, Shun{Node: 1, Rest: rest}, Shun{Node: 99, Rest: rest})
+			}
+			a := g.ask("read", "gold", int(g.id%5), 1, uint64(g.id))
+			if a.Shard = int(g.id % 2); g.id%4 == 3 {
+				a.Shard = -1
+			}
+			for _, act := range g.step(append(events, a)...) {
+				if s, ok := act.(Send); ok {
+					sends[s.Node]++
+					g.step(Outcome{ID: s.ID, Node: s.Node, Status: OK, Latency: 5 * ms, Terminal: true})
+				}
+			}
+			g.now += 10 * ms
+		}
+	}
+	play(2*time.Second, false)
+	if sends[1] < 50 || sends[2] < 50 {
+		t.Fatalf("before: %v", sends)
+	}
+	play(4*time.Second, true)
+	if sends[1] < 5 || sends[1] > int(4*time.Second/rest)+2 || sends[2] < 150 {
+		t.Errorf("shunned: %v", sends)
+	}
+	g.after(rest)
+	if play(2*time.Second, false); sends[1] < 50 {
+		t.Errorf("afterwards: %v", sends)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,7 +3,10 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -120,6 +123,10 @@
 	// Before is called at the start of each step, before anything is decided: what holds by time alone may have ended.
 	Before(nowMs float64) []policy.Event
 	Demand(nowMs float64, d policy.Demand)
+	// Listed tells which nodes there are now by this gateway's own list, and which are gone since it was last told.
+	Listed(nowMs float64, nodes, gone []*Node)
+	// Ended tells how an attempt at a node ended.
+	Ended(nowMs float64, n *Node, s policy.Status)
 	// Until is when the part of a volume's limit that is in force now ends, as far as it is borrowed; 0: it does not.
 	Until(v policy.VolumeID) float64
 }
@@ -140,6 +147,9 @@
 // the first byte of an attempt that had to wait: a drain is counted from that byte.
 func (n *Node) Closed() bool { return n.closed != nil && n.closed.Load() }
 
+// ID is how the module knows the node.
+func (n *Node) ID() policy.NodeID { return n.known }
+
 // List is news of the node list.
 type List struct {
 	Version uint64
@@ -214,16 +224,19 @@
 	out    Outside
 	desk   Desk
 	fleet  Fleet
-	events []policy.Event
-	open   map[policy.RequestID]*entry
-	byName map[string]*entry // of open, those that have a ClientID
-	nodes  map[policy.NodeID]*Node
-	ids    map[string]policy.NodeID
-	lastID policy.RequestID
-	lastNo policy.NodeID
-	listed bool
-	wakeAt time.Duration // as last asked for
-	woken  bool
+	// For the fleet: whether the list has changed since it was told, and what is gone since then.
+	relisted bool
+	gone     []*Node
+	events   []policy.Event
+	open     map[policy.RequestID]*entry
+	byName   map[string]*entry // of open, those that have a ClientID
+	nodes    map[policy.NodeID]*Node
+	ids      map[string]policy.NodeID
+	lastID   policy.RequestID
+	lastNo   policy.NodeID
+	listed   bool
+	wakeAt   time.Duration // as last asked for
+	woken    bool
 }
 
 // New returns a core round a module.
@@ -314,6 +327,9 @@
 	t.unrun = res.Status == policy.Full || res.Status == policy.ConnectFailed || res.Status == policy.Moot
 	e.out--
 	c.out.Count("attempts_" + statusNames[res.Status])
+	if c.fleet != nil {
+		c.fleet.Ended(nowMs, t.node, res.Status)
+	}
 	if res.Status == policy.OK && !e.answered { // the first answer of a node goes to the client as it is
 		c.answer(e, Answer{Verdict: Served, Result: res.Body})
 	}
@@ -375,6 +391,7 @@
 		c.listed = true
 	}
 	c.events = append(c.events, ev)
+	c.relisted = true
 }
 
 // forget drops a node that is gone: every one that replaces another has a name of its own, and on a long day there
@@ -382,6 +399,9 @@
 func (c *Core) forget(n *Node) {
 	delete(c.nodes, n.known)
 	delete(c.ids, n.Name)
+	if c.fleet != nil {
+		c.gone = append(c.gone, n)
+	}
 }
 
 // Ending tells that the gateway ends, and by when all that is open must have been answered: also what was taken
@@ -414,6 +434,10 @@
 // Step lets the module decide on all that came in since the last one, and carries it out.
 func (c *Core) Step(nowMs float64) {
 	if c.fleet != nil {
+		if c.relisted {
+			c.fleet.Listed(nowMs, slices.SortedFunc(maps.Values(c.nodes), func(a, b *Node) int { return cmp.Compare(a.known, b.known) }), c.gone)
+			c.relisted, c.gone = false, nil
+		}
 		c.events = append(c.fleet.Before(nowMs), c.events...)
 	}
 	if len(c.events) == 0 {
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -247,7 +247,8 @@
 
 // ofSelf contradicts what is wrongly said of this gateway.
 func (b *Book) ofSelf(m *member, r Rumour) {
-	if r.Incarnation < m.incarnation || r.State == m.state && r.Incarnation == m.incarnation && (r.State != Alive || r.Life == b.set.Life) {
+	old := r.Incarnation < m.incarnation || r.State == Alive && r.Life == b.set.Life
+	if old || r.State == m.state && r.Incarnation == m.incarnation && r.State != Alive {
 		return
 	}
 	if r.State == Alive { // another process goes by this number, or an earlier one of it did
--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -88,10 +88,8 @@
 // LeaseMs/(1-Drift); one that runs fast by it shows 1+Drift of that.
 func (set Settings) HoldMs() float64 { return set.LeaseMs * (1 + set.Drift) / (1 - set.Drift) }
 
-// Peers tells whom to ask for parts, at most MostPeers of them.
-func (b *Book) Peers(peers []uint16) {
-	b.peers = slices.Clone(peers[:min(len(peers), b.set.MostPeers)])
-}
+// Peers tells whom to ask for parts.
+func (b *Book) Peers(peers []uint16) { b.peers = slices.Clone(peers) }
 
 // Step takes what came at one moment and returns what to send and which parts have changed. Time must not run backwards.
 // A gateway calls it before it uses any part, since leases end by time alone.
@@ -406,10 +404,20 @@
 	return out
 }
 
+// FindMs bounds the time until a gateway that could lend has been asked, among so many and with no loss.
+func (set Settings) FindMs(gateways int) float64 {
+	return math.Ceil(float64(gateways-1)/strangers) * set.AskMs
+}
+
 // whom lists those to ask for parts of a pot: the gateways that its traffic comes through as far as they are known, and
 // a few of the others in turn until all are.
 func (b *Book) whom(p *pot) []uint16 {
-	peers := slices.Clone(p.known)
+	var peers []uint16
+	for _, peer := range p.known {
+		if slices.Contains(b.peers, peer) { // others are dead, or gone
+			peers = append(peers, peer)
+		}
+	}
 	for range min(strangers, len(b.peers)) {
 		if len(p.known) >= p.hosts-1 {
 			break
--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -338,6 +338,83 @@
 	}
 }
 
+// Three hundred gateways, each volume through three of them, with losses and delays: nobody knows which, and those who
+// can lend are found within the bound. The sum is kept at every moment.
+func TestManyGateways(t *testing.T) {
+	const gates, pots, hosts, loss, tick = 300, 20, 3, 0.1, 25.0
+	rnd := rand.New(rand.NewPCG(1, 9))
+	books := make([]*Book, gates)
+	var peers []uint16
+	for i := range books {
+		books[i], _ = New(settings(uint16(i), uint32(i+1)))
+		books[i].Step(0, nil, nil)
+		peers = append(peers, uint16(i))
+	}
+	for i, b := range books {
+		b.Peers(slices.DeleteFunc(slices.Clone(peers), func(p uint16) bool { return int(p) == i }))
+	}
+	through := make([][]int, pots)
+	for p := range through {
+		through[p] = rnd.Perm(gates)[:hosts]
+	}
+	start := settings(0, 0).HoldMs() + tick
+	bound := settings(0, 0).FindMs(gates)
+	wire := map[int][]Message{} // by tick of arrival; Peer is the receiver, Pot as it is
+	from := map[int][]uint16{}
+	found := make([]float64, pots)
+	sent := 0
+	for n := 0; float64(n)*tick < start+3*bound; n++ {
+		now := start + float64(n)*tick
+		in := map[int][]Message{}
+		for i, m := range wire[n] {
+			to := int(m.Peer)
+			m.Peer = from[n][i]
+			in[to] = append(in[to], m)
+		}
+		delete(wire, n)
+		delete(from, n)
+		demands := map[int][]Demand{}
+		for p, hs := range through {
+			for k, h := range hs {
+				need := 0.01
+				if k == 0 {
+					need = 0.9
+				}
+				demands[h] = append(demands[h], Demand{Pot: uint64(p), Hosts: hosts, Part: need})
+			}
+		}
+		for i, b := range books {
+			if len(in[i]) == 0 && len(demands[i]) == 0 {
+				continue
+			}
+			out, _ := b.Step(now, demands[i], in[i])
+			for _, m := range out {
+				if sent++; rnd.Float64() >= loss {
+					at := n + 1 + rnd.IntN(2)
+					wire[at], from[at] = append(wire[at], m), append(from[at], uint16(i))
+				}
+			}
+		}
+		for p, hs := range through {
+			sum := 0.0
+			for _, h := range hs {
+				sum += books[h].Held(now, uint64(p))
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("at %.0f ms %.4f of volume %d is in force", now, sum, p)
+			}
+			if found[p] == 0 && books[hs[0]].Held(now, uint64(p)) > 0.8 {
+				found[p] = now - start
+			}
+		}
+	}
+	slices.Sort(found)
+	t.Logf("both lenders found after %.0f ms in the median, %.0f at the most; bound without loss %.0f; %d messages", found[pots/2], found[pots-1], bound, sent)
+	if found[0] == 0 || found[pots/2] > bound+4*tick {
+		t.Errorf("found after %v, bound %v", found, bound)
+	}
+}
+
 // Books are bounded by their settings, whoever asks.
 func TestBooksAreBounded(t *testing.T) {
 	b, err := New(settings(0, 1))
--- a/internal/peer/datagram/codec.go
+++ b/internal/peer/datagram/codec.go
@@ -23,6 +23,7 @@
 
 	"gaugerelay/internal/decide/members"
 	"gaugerelay/internal/decide/share"
+	"gaugerelay/internal/decide/verdict"
 )
 
 // Most is the longest datagram.
@@ -37,10 +38,12 @@
 	typeMember = 1
 	typeRumour = 2
 	typeShare  = 3
+	typeWord   = 4
 
 	memberSize = 7
 	rumourSize = 17
 	shareSize  = 21
+	wordSize   = 20
 )
 
 // Packet is what a datagram holds. Peers in its messages are not encoded: they are the sender, or the receiver.
@@ -50,6 +53,7 @@
 	Count   uint64
 	Members []members.Message // each datagram has the rumours of all of its messages; decoded, the first has them
 	Share   []share.Message
+	Words   []verdict.Evidence
 }
 
 // Why a datagram is dropped.
@@ -108,6 +112,13 @@
 			return binary.BigEndian.AppendUint32(b, fixed(m.Part, m.Kind != share.Grant))
 		})
 	}
+	for _, e := range p.Words {
+		add(typeWord, wordSize, func(b []byte) []byte {
+			b = binary.BigEndian.AppendUint64(append(b, byte(e.Kind)), e.Node)
+			b = binary.BigEndian.AppendUint64(append(b, e.Percent), e.Stamp)
+			return binary.BigEndian.AppendUint16(b, uint16(max(0, min(math.MaxUint16, e.AgeMs))))
+		})
+	}
 	for _, m := range p.Members {
 		add(typeMember, memberSize, func(b []byte) []byte {
 			b = binary.BigEndian.AppendUint32(append(b, byte(m.Kind)), m.Seq)
@@ -175,7 +186,10 @@
 			}
 			p.Share = append(p.Share, share.Message{Kind: share.Kind(x[0]), Peer: p.From, Life: p.Life, Pot: binary.BigEndian.Uint64(x[1:]),
 				To: binary.BigEndian.Uint32(x[9:]), Seq: binary.BigEndian.Uint32(x[13:]), Part: float64(part) / whole})
-		case kind >= typeMember && kind <= typeShare:
+		case kind == typeWord && len(x) >= wordSize:
+			p.Words = append(p.Words, verdict.Evidence{Peer: p.From, Kind: verdict.Kind(x[0]), Node: binary.BigEndian.Uint64(x[1:]), Percent: x[9],
+				Stamp: binary.BigEndian.Uint64(x[10:]), AgeMs: float64(binary.BigEndian.Uint16(x[18:]))})
+		case kind >= typeMember && kind <= typeWord:
 			return Packet{}, ErrItem
 		}
 	}
--- a/internal/peer/datagram/codec_test.go
+++ b/internal/peer/datagram/codec_test.go
@@ -8,12 +8,14 @@
 
 	"gaugerelay/internal/decide/members"
 	"gaugerelay/internal/decide/share"
+	"gaugerelay/internal/decide/verdict"
 )
 
 func sample() Packet {
 	return Packet{From: 3, Life: 77, Members: []members.Message{{Kind: members.Ack, Peer: 3, Seq: 5, Target: 1, Rumours: []members.Rumour{
 		{Member: 3, Incarnation: 9, Life: 77}, {Member: 2, State: members.Suspect, Incarnation: 1 << 40, By: 4}}}},
-		Share: []share.Message{{Kind: share.Grant, Pot: 0xb4d60021, Peer: 3, Life: 77, To: 5, Seq: 8, Part: 0.25}}}
+		Share: []share.Message{{Kind: share.Grant, Pot: 0xb4d60021, Peer: 3, Life: 77, To: 5, Seq: 8, Part: 0.25}},
+		Words: []verdict.Evidence{{Peer: 3, Node: 1 << 60, Kind: verdict.Closed, Percent: 80, Stamp: 1 << 41, AgeMs: 250}}}
 }
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -11,10 +11,15 @@
 	"net/netip"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	policy "gaugerelay"
 
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/core"
 	"gaugerelay/internal/decide/members"
 	"gaugerelay/internal/decide/share"
+	"gaugerelay/internal/decide/verdict"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/peer/datagram"
 )
@@ -54,16 +59,35 @@
 	return s
 }
 
+// What is found of nodes counts for so long, and is told again so often. A node that several find failing gets one request
+// in restMs from each gateway; what a gone one leaves is told for goneMs, which is longer than lists take.
+const (
+	wordAgeMs  = 3000
+	wordTellMs = 1000
+	restMs     = 400
+	goneMs     = 10_000
+	shunMs     = 100 // between two tellings of the same to the module
+	mostTold   = 16  // gateways that hear a finding at once
+)
+
+func (o Options) verdict() verdict.Settings {
+	return verdict.Settings{FadeMs: 2000, LeastFailures: 3, LeastPart: 0.5, MostAgeMs: wordAgeMs, TellMs: wordTellMs, Origins: 2, OfAlive: 0.34,
+		MostOut: 0.34, MostNodes: 4096, MostPeers: min(len(o.Peers), 64)}
+}
+
 // Bounds are the times that the settings lead to.
 type Bounds struct {
 	DetectMs float64 // until a gateway that died is held for dead
 	PartMs   float64 // until what it had borrowed is back
 	HoldMs   float64 // until a gateway that starts has all of its own part
+	WordMs   float64 // the age beyond which what another has found decides nothing
+	ShunMs   float64 // until a wrong verdict is over once nobody finds it any more
 }
 
 // Bounds are what holds for these options.
 func (o Options) Bounds() Bounds {
-	return Bounds{DetectMs: o.members().DetectMs(), PartMs: o.share().HoldMs(), HoldMs: o.share().HoldMs()}
+	return Bounds{DetectMs: o.members().DetectMs(), PartMs: o.share().HoldMs(), HoldMs: o.share().HoldMs(), WordMs: wordAgeMs,
+		ShunMs: wordAgeMs + restMs}
 }
 
 // Loop is what the fleet asks of the loop.
@@ -83,18 +107,25 @@
 
 	members *members.Book
 	share   *share.Book
+	verdict *verdict.Book
+	nodes   map[uint64]*core.Node // as listed, by what all gateways call them
+	gone    map[uint64]float64    // when
 	seen    []datagram.Seen
 	count   uint64
 	asked   []share.Demand
 	toM     []members.Message
 	toS     []share.Message
+	toV     []verdict.Evidence
+	turn    int // of those who hear findings
+	shunAt  float64
 	nextMs  float64
 	stop    func()
 }
 
 // New returns the side of a gateway that has just started, or an error if the options cannot be used.
 func New(o Options, m *metrics.Set, log *slog.Logger) (*Fleet, error) {
-	f := &Fleet{opt: o, codec: datagram.New(o.Key), metrics: m, log: log, seen: make([]datagram.Seen, len(o.Peers)), stop: func() {}}
+	f := &Fleet{opt: o, codec: datagram.New(o.Key), metrics: m, log: log, seen: make([]datagram.Seen, len(o.Peers)), stop: func() {},
+		nodes: map[uint64]*core.Node{}, gone: map[uint64]float64{}}
 	var err error
 	if f.members, err = members.New(o.members()); err != nil {
 		return nil, err
@@ -102,7 +133,11 @@
 	if f.share, err = share.New(o.share()); err != nil {
 		return nil, err
 	}
+	if f.verdict, err = verdict.New(o.verdict()); err != nil {
+		return nil, err
+	}
 	f.share.Peers(f.members.Alive())
+	f.verdict.Alive(len(o.Peers))
 	return f, nil
 }
 
@@ -144,12 +179,12 @@
 		f.metrics.Add("fleet_datagrams_again", 1)
 		return
 	}
-	if len(f.toM)+len(f.toS) > mostInbox {
+	if len(f.toM)+len(f.toS)+len(f.toV) > mostInbox {
 		f.metrics.Add("fleet_datagrams_unread", 1)
 		return
 	}
 	f.metrics.Add("fleet_datagrams_taken", 1)
-	f.toM, f.toS = append(f.toM, p.Members...), append(f.toS, p.Share...)
+	f.toM, f.toS, f.toV = append(f.toM, p.Members...), append(f.toS, p.Share...), append(f.toV, p.Words...)
 	f.nextMs = 0
 }
 
@@ -161,16 +196,95 @@
 	f.wake(nowMs, min(f.nextMs, nowMs+5))
 }
 
+// NodeName is what all gateways call one life of a node.
+func NodeName(id string, startedMs float64) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %.0f", id, startedMs))
+}
+
+func name(n *core.Node) uint64 { return NodeName(n.Name, n.StartedMs) }
+
+// Listed implements core.Fleet.
+func (f *Fleet) Listed(nowMs float64, nodes, gone []*core.Node) {
+	for _, n := range gone {
+		f.gone[name(n)] = nowMs
+	}
+	clear(f.nodes)
+	var ids, closed []uint64
+	for _, n := range nodes {
+		id := name(n)
+		f.nodes[id] = n
+		ids = append(ids, id)
+		if n.State != policy.Live {
+			closed = append(closed, id)
+		}
+	}
+	for id, at := range f.gone {
+		if nowMs-at > goneMs {
+			delete(f.gone, id)
+		} else if f.nodes[id] == nil {
+			closed = append(closed, id)
+		}
+	}
+	slices.Sort(closed)
+	f.verdict.List(append(ids, closed...))
+	for _, id := range closed {
+		f.verdict.Close(id)
+	}
+	f.wake(nowMs, min(f.nextMs, nowMs+5))
+}
+
+// Ended implements core.Fleet.
+func (f *Fleet) Ended(nowMs float64, n *core.Node, s policy.Status) {
+	switch s {
+	case policy.OK:
+		f.verdict.Observe(nowMs, name(n), false)
+	case policy.Error, policy.TimedOut, policy.ConnectFailed, policy.Reset:
+		f.verdict.Observe(nowMs, name(n), true)
+		f.wake(nowMs, min(f.nextMs, nowMs+20))
+	}
+}
+
+// judge lets findings be told and heard, and tells the module which nodes to leave nearly alone.
+func (f *Fleet) judge(nowMs float64, in []verdict.Evidence) (tell []verdict.Evidence, events []policy.Event) {
+	tell, out := f.verdict.Step(nowMs, in)
+	f.metrics.Add("fleet_findings_told", int64(len(tell)))
+	if len(out) == 0 || nowMs < f.shunAt {
+		return tell, nil
+	}
+	f.shunAt = nowMs + shunMs
+	for _, v := range out {
+		if n := f.nodes[v.Node]; n != nil {
+			events = append(events, policy.Shun{Node: n.ID(), Rest: clock.Duration(restMs)})
+			f.metrics.Add("fleet_nodes_shunned", 1)
+		}
+	}
+	return tell, events
+}
+
+// hearers are the gateways that hear a finding: all, or so many in turn.
+func (f *Fleet) hearers() []uint16 {
+	alive := f.members.Alive()
+	if len(alive) <= mostTold {
+		return alive
+	}
+	var some []uint16
+	for range mostTold {
+		some = append(some, alive[f.turn%len(alive)])
+		f.turn++
+	}
+	return some
+}
+
 // Until implements core.Fleet.
 func (f *Fleet) Until(v policy.VolumeID) float64 { return f.share.UntilMs(uint64(v)) }
 
 // Before implements core.Fleet.
-func (f *Fleet) Before(nowMs float64) (events []policy.Event) {
+func (f *Fleet) Before(nowMs float64) []policy.Event {
 	if nowMs < f.nextMs {
 		return nil
 	}
-	toM, toS, asked := f.toM, f.toS, f.asked
-	f.toM, f.toS, f.asked = nil, nil, nil
+	toM, toS, toV, asked := f.toM, f.toS, f.toV, f.asked
+	f.toM, f.toS, f.toV, f.asked = nil, nil, nil, nil
 	mOut, changes := f.members.Step(nowMs, toM)
 	for _, c := range changes {
 		f.metrics.Add("fleet_changes", 1)
@@ -181,16 +295,23 @@
 		f.log.Info("fleet: member", "member", c.Member, "state", stateNames[c.State], "life", c.Life)
 	}
 	if len(changes) > 0 {
-		f.share.Peers(f.members.Alive())
+		alive := f.members.Alive()
+		f.share.Peers(alive)
+		f.verdict.Alive(1 + len(alive))
 	}
+	tell, events := f.judge(nowMs, toV)
 	sOut, parts := f.share.Step(nowMs, asked, toS)
 	for _, p := range parts {
 		events = append(events, policy.Part{Volume: policy.VolumeID(p.Pot), Part: p.Part})
 		f.metrics.Add("fleet_parts_changed", 1)
 	}
-	f.send(mOut, sOut)
+	f.send(mOut, sOut, tell)
 	f.nextMs = math.Inf(1)
-	f.wake(nowMs, min(f.members.NextMs(), f.share.NextMs(nowMs)))
+	next := min(f.members.NextMs(), f.share.NextMs(nowMs), f.verdict.NextMs(nowMs))
+	if len(f.verdict.Out()) > 0 {
+		next = min(next, nowMs+shunMs)
+	}
+	f.wake(nowMs, next)
 	return events
 }
 
@@ -209,7 +330,7 @@
 }
 
 // send makes datagrams of what goes to each member.
-func (f *Fleet) send(mOut []members.Message, sOut []share.Message) {
+func (f *Fleet) send(mOut []members.Message, sOut []share.Message, tell []verdict.Evidence) {
 	if f.socket == nil {
 		return
 	}
@@ -230,6 +351,11 @@
 		p := packet(m.Peer)
 		p.Share = append(p.Share, m)
 	}
+	if len(tell) > 0 {
+		for _, peer := range f.hearers() {
+			packet(peer).Words = tell
+		}
+	}
 	for _, peer := range to {
 		if int(peer) >= len(f.opt.Peers) {
 			continue
@@ -243,11 +369,16 @@
 // Show writes what this gateway knows, for operators.
 func (f *Fleet) Show(w io.Writer, nowMs float64) {
 	bounds := f.opt.Bounds()
-	fmt.Fprintf(w, "self %d life %08x\nbound detect_ms %.0f\nbound part_back_ms %.0f\nbound start_hold_ms %.0f\n",
-		f.opt.Self, f.opt.Life, bounds.DetectMs, bounds.PartMs, bounds.HoldMs)
+	fmt.Fprintf(w, "self %d life %08x\nbound detect_ms %.0f\nbound part_back_ms %.0f\nbound start_hold_ms %.0f\nbound word_age_ms %.0f\nbound shun_ms %.0f\n",
+		f.opt.Self, f.opt.Life, bounds.DetectMs, bounds.PartMs, bounds.HoldMs, bounds.WordMs, bounds.ShunMs)
 	for i := range f.opt.Peers {
 		fmt.Fprintf(w, "member %d %s %s\n", i, f.opt.Peers[i], stateNames[f.members.State(uint16(i))])
 	}
+	for _, v := range f.verdict.Out() {
+		if n := f.nodes[v.Node]; n != nil {
+			fmt.Fprintf(w, "verdict %s %s by %d age_ms %.0f\n", n.Name, [...]string{"", "failing", "closed"}[v.Kind], v.By, v.AgeMs)
+		}
+	}
 	for _, pot := range f.share.Pots() {
 		lent, borrowed := f.share.Lent(pot)
 		fmt.Fprintf(w, "volume %016x held %.4f lent %.4f borrowed %.4f\n", pot, f.share.Held(nowMs, pot), lent, borrowed)
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -27,7 +28,7 @@
 		t.Skip("several processes")
 	}
 	var out strings.Builder
-	res, err := Run(Options{Binary: binary(t), Gateways: 3, Hosts: 3, Volumes: 2, Shards: 2, Seed: 1, Fleet: true, LeaseMs: 300, Part: 0.2},
+	res, err := Run(Options{Binary: binary(t), Gateways: 3, Hosts: 3, Volumes: 2, Shards: 4, Seed: 1, Fleet: true, LeaseMs: 300, Part: 0.2},
 		0, "", &out)
 	if err != nil {
 		t.Fatal(err)
@@ -50,7 +51,7 @@
 	if _, err := Start(Options{Binary: at, Gateways: 1, Hosts: 1, Shards: 1, Seed: 1}); err == nil || !strings.Contains(err.Error(), "ended by itself") {
 		t.Errorf("a program that ends: %v", err)
 	}
-	p, err := newPlatform(1, 1)
+	p, err := newPlatform(1, 1, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,6 +118,63 @@
 	}
 }
 
+// A connection's ways do what they are told, each on its own.
+func TestWays(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p, err := newTCPProxy(ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	dial := func() (client, server net.Conn) {
+		client, err := net.Dial("tcp", p.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if server, err = ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range []net.Conn{client, server} {
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			t.Cleanup(func() { c.Close() })
+		}
+		return client, server
+	}
+	read := func(c net.Conn, n int) string {
+		b := make([]byte, n)
+		n, _ = io.ReadFull(c, b)
+		return string(b[:n])
+	}
+	client, server := dial()
+	p.set(Way{Drip: 3, DelayMs: 1}, Way{Silent: true})
+	client.Write([]byte("a request"))
+	server.Write([]byte("an answer"))
+	if got := read(server, 9); got != "a request" {
+		t.Errorf("%q has come", got)
+	}
+	p.set(Way{}, Way{})
+	if got := read(client, 9); got != "an answer" {
+		t.Errorf("%q has come behind a silence", got)
+	}
+	p.set(Way{}, Way{Break: 4})
+	server.Write([]byte("another answer"))
+	if got := read(client, 14); len(got) > 4 {
+		t.Errorf("%q has come of an answer that breaks off", got)
+	}
+	p.set(Way{}, Way{})
+	client, server = dial()
+	client.Write([]byte("x"))
+	read(server, 1)
+	p.reset()
+	if got := read(client, 1); got != "" {
+		t.Errorf("%q behind a reset", got)
+	}
+}
+
 // A process that was away between two moments is known to have been.
 func TestAway(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
--- a/internal/standin/fleet/rig.go
+++ b/internal/standin/fleet/rig.go
@@ -44,6 +44,9 @@
 	WorstOver                 float64 // units below an empty store at the worst
 	BoundOver                 float64 // what the rule allows
 	Datagrams                 int
+	WrongEjections            int     // gateways that were kept from a node which served them well
+	Unheard                   float64 // tries a second at a draining node of which a gateway's own list is silent
+	Shunned                   float64 // tries a second from each gateway at a node that fails for all, behind a second of it
 	Broken                    []string
 }
 
@@ -51,6 +54,7 @@
 type Rig struct {
 	opt      Options
 	platform *platform
+	liar     *liar
 	gates    []*process
 	links    [][]*proxy // from, to
 	rnd      *rand.Rand
@@ -79,7 +83,7 @@
 			r.Close()
 		}
 	}()
-	if r.platform, err = newPlatform(o.Shards, o.Hosts); err != nil {
+	if r.platform, err = newPlatform(o.Gateways, o.Shards, o.Hosts); err != nil {
 		return r, err
 	}
 	for i := range o.Gateways {
@@ -95,6 +99,9 @@
 	if err = r.connect(); err != nil {
 		return r, err
 	}
+	if r.liar, err = newLiar(len(r.gates)); err != nil {
+		return r, err
+	}
 	for i, p := range r.gates {
 		config, err := r.platform.config(p.name, p.listen, i, o.Gateways)
 		if err != nil {
@@ -110,7 +117,8 @@
 				}
 				peers = append(peers, at)
 			}
-			edge = map[string]any{"fleet": map[string]any{"listen": p.peerAt, "self": i, "peers": peers, "key": "of this run",
+			peers = append(peers, r.liar.conn.LocalAddr().String())
+			edge = map[string]any{"fleet": map[string]any{"listen": p.peerAt, "self": i, "peers": peers, "key": fleetKey,
 				"period_ms": 200, "lease_ms": o.LeaseMs}}
 		}
 		if err := p.files(filepath.Join(dir, p.name), config, edge); err != nil {
@@ -188,6 +196,9 @@
 			}
 		}
 	}
+	if r.liar != nil {
+		r.liar.conn.Close()
+	}
 	if r.platform != nil {
 		r.platform.close()
 	}
@@ -271,6 +282,20 @@
 	r.gates[g].signal(syscall.SIGCONT)
 }
 
+// ejected counts the gateways, of some, that have nearly stopped sending to a node between two counts, while they sent
+// to the next as before: each request goes to either by chance.
+func (r *Rig) ejected(of func(g int) bool, shard int, before [][]int) {
+	now := r.platform.counts()
+	for g := range r.gates {
+		next := (shard + 1) % r.opt.Shards
+		there, other := now[g][shard]-before[g][shard], now[g][next]-before[g][next]
+		if of(g) && other >= 20 && 4*there < other {
+			r.count(func(res *Result) { res.WrongEjections++ })
+			r.broken("n%d sent %d requests to a node that serves it well, %d to the other", g, there, other)
+		}
+	}
+}
+
 // shift gives the lead of each volume to the next of its hosts.
 func (r *Rig) shift() {
 	r.mu.Lock()
@@ -280,15 +305,20 @@
 	}
 }
 
+// whole waits for all of a time, also where the run is short: a bound of the program's has to pass.
+func (r *Rig) whole(d time.Duration) {
+	select {
+	case <-r.stop:
+	case <-time.After(d):
+	}
+}
+
 // wait waits, for a part of the time where the run is to be short.
 func (r *Rig) wait(d time.Duration) {
 	if r.opt.Part > 0 {
 		d = time.Duration(float64(d) * r.opt.Part)
 	}
-	select {
-	case <-r.stop:
-	case <-time.After(d):
-	}
+	r.whole(d)
 }
 
 func (r *Rig) count(f func(*Result)) {
@@ -308,6 +338,8 @@
 
 // ---- clients ----
 
+func volumeID(v int) uint64 { return uint64(0xb000 + v) }
+
 // hosts are the gateways through which a volume's requests come.
 func (r *Rig) hosts(v int) (gates []*process) {
 	for i := range r.opt.Hosts {
@@ -319,7 +351,7 @@
 // traffic is a volume's: load times its limit, nearly all through the gateway that has the lead.
 func (r *Rig) traffic(v int) {
 	rnd := rand.New(rand.NewPCG(r.opt.Seed, uint64(100+v)))
-	volume := uint64(0xb000 + v)
+	volume := volumeID(v)
 	hosts := r.hosts(v)
 	var clients []*http.Client
 	for range hosts {
--- a/internal/standin/fleet/scenarios.go
+++ b/internal/standin/fleet/scenarios.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"syscall"
 	"time"
 )
@@ -112,6 +113,105 @@
 		r.heal()
 		r.wait(time.Second)
 	}},
+	{"a node fails for all", func(r *Rig) {
+		for g := range r.gates {
+			r.platform.fail(g, 0, true)
+		}
+		r.wait(1500 * time.Millisecond)
+		before, began := r.platform.counts(), time.Now()
+		r.wait(2 * time.Second)
+		for g, now := range r.platform.counts() {
+			tries := float64(now[0]-before[g][0]) / time.Since(began).Seconds()
+			r.count(func(res *Result) { res.Shunned = max(res.Shunned, tries) })
+			r.platform.fail(g, 0, false)
+		}
+		r.whole(4 * time.Second) // a verdict ends by age, or by what the tries find
+		before = r.platform.counts()
+		r.wait(2 * time.Second)
+		r.ejected(func(int) bool { return true }, 0, before)
+	}},
+	{"a node fails for one gateway alone", func(r *Rig) {
+		r.platform.fail(0, 0, true)
+		r.wait(time.Second)
+		before := r.platform.counts()
+		r.wait(3 * time.Second)
+		r.ejected(func(g int) bool { return g != 0 }, 0, before)
+		r.platform.fail(0, 0, false)
+		r.wait(time.Second)
+	}},
+	{"one of the fleet lies", func(r *Rig) {
+		before := r.platform.counts()
+		for round := range 20 {
+			for _, p := range r.gates {
+				if at, err := net.ResolveUDPAddr("udp", p.peerAt); err == nil {
+					r.liar.lie(at, r.opt.Shards, r.opt.Volumes, uint64(round+1))
+				}
+			}
+			r.wait(150 * time.Millisecond)
+		}
+		r.ejected(func(int) bool { return true }, 0, before)
+		r.ejected(func(int) bool { return true }, 1, before)
+	}},
+	{"a node drains, and one gateway's list does not say so", func(r *Rig) {
+		last := len(r.gates) - 1
+		for g := range last {
+			r.platform.drain(g, 1, true)
+		}
+		r.whole(1500 * time.Millisecond) // the settings' grace, and a half of it for the list
+		before, began := r.platform.counts(), time.Now()
+		r.wait(2 * time.Second)
+		tries := float64(r.platform.counts()[last][1]-before[last][1]) / time.Since(began).Seconds()
+		r.count(func(res *Result) { res.Unheard = max(res.Unheard, tries) })
+		for g := range last {
+			if n := r.platform.counts()[g][1] - before[g][1]; n > 0 {
+				r.broken("n%d sent %d requests to a node that drains", g, n)
+			}
+			r.platform.drain(g, 1, false)
+		}
+		r.wait(time.Second)
+	}},
+	{"the way to a node is silent for one gateway, then breaks", func(r *Rig) {
+		before := r.platform.counts()
+		way := r.platform.ways[0][2%r.opt.Shards]
+		way.set(Way{}, Way{Silent: true}) // what is sent arrives, and no answer comes back
+		r.wait(2 * time.Second)
+		way.reset()
+		way.set(Way{}, Way{})
+		r.ejected(func(g int) bool { return g != 0 }, 2%r.opt.Shards, before)
+		r.wait(time.Second)
+	}},
+	{"answers break off, requests drip, lists are late", func(r *Rig) {
+		for g, ways := range r.platform.ways {
+			for _, way := range ways {
+				way.set(Way{DelayMs: 2, Drip: 120}, Way{Break: 400 + 100*g})
+			}
+			r.platform.listWays[g].set(Way{}, Way{Drip: 40})
+		}
+		r.wait(2 * time.Second)
+		for g, ways := range r.platform.ways {
+			for _, way := range ways {
+				way.set(Way{}, Way{})
+			}
+			r.platform.listWays[g].reset()
+			r.platform.listWays[g].set(Way{}, Way{})
+		}
+		r.wait(time.Second)
+	}},
+	{"one without fleet among the others", func(r *Rig) {
+		p := r.gates[r.rnd.IntN(len(r.gates))]
+		args := p.args
+		r.kill(p.n)
+		p.args = nil // as the last version is
+		r.restart(p.n)
+		for range 2 {
+			r.wait(1500 * time.Millisecond)
+			r.shift()
+		}
+		r.kill(p.n)
+		p.args = args
+		r.restart(p.n)
+		r.wait(500 * time.Millisecond)
+	}},
 	{"a partition heals ten times", func(r *Rig) {
 		for i := range 10 {
 			r.partition(func(g int) bool { return g <= i%3 }, i%4 == 3)
--- a/scheduler.go
+++ b/scheduler.go
@@ -148,6 +148,10 @@
 			if v := s.volumes[e.Volume]; v != nil {
 				v.limitTo(s.now, e.Part)
 			}
+		case Shun:
+			if n := s.nodes[e.Node]; n != nil {
+				n.rest, n.restTill, n.holdUntil = e.Rest, s.now+e.Rest, max(n.holdUntil, n.lastSend+e.Rest)
+			}
 		case Wake:
 			if s.now >= s.wakeAt {
 				s.wakeSet = false
@@ -611,6 +615,9 @@
 	n.inUse++
 	f.out++
 	n.lastSend = s.now
+	if s.now < n.restTill {
+		n.holdUntil = s.now + n.rest
+	}
 	if s.cold(n) {
 		s.coldRoom(n).take(s.now, r.Units)
 	}
