Gateways tell each other how long nodes take; what is held against a node is bounded

Need: PARDA shares its latency averages; a gateway that sees few answers of a node learns late. internal/decide/latency tells own answers, at most 14 nodes every 0.2 s, and counts the lower middle of what at least two others say within a second. The module takes it as one more answer (Seen). Off without fleet.

Verdicts: what is remembered of a node is bounded to ten attempts, so that a finding ends 2.4 s behind the last failure at the latest; the rig measures until a node that failed for all is used again, and prints the bound beside it.

--- a/api.go
+++ b/api.go
@@ -231,6 +231,12 @@
 	Rest time.Duration
 }
 
+// Seen tells a latency of a node that other gateways have measured lately; it counts as one answer.
+type Seen struct {
+	Node    NodeID
+	Latency time.Duration
+}
+
 // Wake is the return of a WakeAt.
 type Wake struct{}
 
@@ -243,6 +249,7 @@
 func (Ending) event()   {}
 func (Part) event()     {}
 func (Shun) event()     {}
+func (Seen) event()     {}
 func (Wake) event()     {}
 
 // Action is something the gateway must now do. Actions are carried out in order.
--- a/books.go
+++ b/books.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -184,3 +185,24 @@
 	}
 	return n.out[0]
 }
+
+// unhold takes a request out of its flow.
+func (r *request) unhold() {
+	f := r.shard.byVol[r.Volume]
+	if i := slices.Index(f.held, r); i >= 0 {
+		f.held = slices.Delete(f.held, i, i+1)
+	}
+	r.held = false
+}
+
+// mostSeen bounds the answers of a period that are kept of a node that nothing is asked of meanwhile.
+const mostSeen = 8
+
+// seen takes in a latency that others have measured, as an answer of this period.
+func (n *node) seen(latency time.Duration) {
+	if n.answers >= mostSeen {
+		n.sum, n.answers = n.sum/2, n.answers/2
+	}
+	n.sum += max(0, latency)
+	n.answers++
+}
--- a/cmd/gaugelab/fleet.go
+++ b/cmd/gaugelab/fleet.go
@@ -38,12 +38,14 @@
 	}
 	fmt.Printf("served %d (%.0f units), refused %d, failed %d; %d pauses, %d datagrams\n", res.Served, res.ServedUnits, res.Refused, res.Failed,
 		res.Pauses, res.Datagrams)
-	fmt.Printf("a node that fails for all: at most %.1f tries a second from each gateway; one that drains unheard of: %.1f\n", res.Shunned, res.Unheard)
+	fmt.Printf("a node that fails for all: at most %.1f tries a second from each gateway; one that drains unheard of: %.1f\n",
+		res.Shunned, res.Unheard)
 	for _, b := range res.Broken {
 		fmt.Println("broken:", b)
 	}
-	fmt.Printf("processes=%d kills=%d partitions=%d over_limit=%d wrong_ejections=%d doubled=%d crashed=%d lost=%d worst_over_units=%.1f bound_units=%.1f\n",
-		c.Gateways, res.Kills, res.Partitions, res.OverLimit, res.WrongEjections, res.Doubled, res.Crashed, res.Lost, res.WorstOver, res.BoundOver)
+	fmt.Printf("processes=%d kills=%d partitions=%d over_limit=%d wrong_ejections=%d doubled=%d crashed=%d lost=%d worst_over_units=%.1f bound_units=%.1f recover_ms=%.0f bound_ms=%.0f\n",
+		c.Gateways, res.Kills, res.Partitions, res.OverLimit, res.WrongEjections, res.Doubled, res.Crashed, res.Lost, res.WorstOver, res.BoundOver,
+		res.RecoverMs, fleet.RecoverBoundMs)
 	if n := len(res.Broken); n > 0 {
 		return fmt.Errorf("%d of what must never be", n)
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -295,3 +295,44 @@
 		t.Errorf("afterwards: %v", sends)
 	}
 }
+
+// What others have measured of a node counts as answers: a gateway that sees few of its own learns that the node has
+// become slow, and that it is well again. Of a node that nothing is asked of little is kept.
+func TestLatenciesOfOthersCount(t *testing.T) {
+	g := newGate(t, nil)
+	n := g.s.nodes[1]
+	hear := func(d, latency time.Duration) {
+		for end := g.now + d; g.now < end; g.now += 100 * ms {
+			a := g.ask("read", "gold", 7, 1, 1) // one request a second keeps the shard busy
+			a.Shard = 0
+			events := []Event{Seen{Node: 1, Latency: latency}, Seen{Node: 99, Latency: latency}}
+			if g.now%time.Second == 0 {
+				events = append(events, a)
+			}
+			for _, act := range g.step(events...) {
+				if s, ok := act.(Send); ok {
+					g.step(Outcome{ID: s.ID, Node: s.Node, Status: OK, Latency: latency, Terminal: true})
+				}
+			}
+		}
+	}
+	hear(3*time.Second, 10*ms)
+	if n.latency > 20*ms {
+		t.Errorf("L is %v of a quick node", n.latency)
+	}
+	hear(3*time.Second, 200*ms)
+	if n.latency < 100*ms {
+		t.Errorf("L is %v of a slow node", n.latency)
+	}
+	hear(4*time.Second, 10*ms)
+	if n.latency > 50*ms {
+		t.Errorf("L is %v of one that is quick again", n.latency)
+	}
+	other := g.s.nodes[2]
+	for range 1000 {
+		g.step(Seen{Node: 2, Latency: 30 * ms})
+	}
+	if other.answers > mostSeen || other.sum > mostSeen*30*ms {
+		t.Errorf("%v answers of %v are kept", other.answers, other.sum)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -126,7 +126,7 @@
 	// Listed tells which nodes there are now by this gateway's own list, and which are gone since it was last told.
 	Listed(nowMs float64, nodes, gone []*Node)
 	// Ended tells how an attempt at a node ended.
-	Ended(nowMs float64, n *Node, s policy.Status)
+	Ended(nowMs float64, n *Node, s policy.Status, latencyMs float64)
 	// Until is when the part of a volume's limit that is in force now ends, as far as it is borrowed; 0: it does not.
 	Until(v policy.VolumeID) float64
 }
@@ -328,7 +328,7 @@
 	e.out--
 	c.out.Count("attempts_" + statusNames[res.Status])
 	if c.fleet != nil {
-		c.fleet.Ended(nowMs, t.node, res.Status)
+		c.fleet.Ended(nowMs, t.node, res.Status, nowMs-t.sentMs)
 	}
 	if res.Status == policy.OK && !e.answered { // the first answer of a node goes to the client as it is
 		c.answer(e, Answer{Verdict: Served, Result: res.Body})
--- /dev/null
+++ b/internal/decide/latency/latency.go
@@ -0,0 +1,178 @@
+// Package latency decides what a gateway makes of the latencies of nodes that others have measured. A gateway that sees
+// few answers of a node learns late that it has become slow, or well again; others have seen it.
+//
+// Each tells of its own answers only. What counts is the middle of what at least two others say, the lower one of two:
+// one that lies, or whose way to a node is bad, moves it no further than to what another has measured. What is said
+// grows old, so where all others fall silent a gateway goes by its own answers alone.
+//
+// The package is pure: no clock, no I/O, no goroutine, no order of maps. Times are milliseconds of the caller's clock.
+package latency
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Settings are what a Book is made with.
+type Settings struct {
+	FadeMs    float64 // own answers so long ago weigh 1/e in what is told
+	MostAgeMs float64 // what was said so long ago counts for nothing
+	TellMs    float64 // between two tellings
+	MostTold  int     // nodes in one telling, those with the most answers since the last one
+	MostNodes int
+	MostPeers int // whose word is kept on each node
+}
+
+// Sample is what one gateway says of a node.
+type Sample struct {
+	Peer  uint16 // who measured it
+	Node  uint64
+	Ms    float64
+	AgeMs float64
+}
+
+// Merged is what others say of a node together, of so many of them.
+type Merged struct {
+	Node uint64
+	Ms   float64
+	By   int
+}
+
+type word struct {
+	peer   uint16
+	ms     float64
+	bornMs float64
+}
+
+type node struct {
+	id          uint64
+	sum, weight float64 // faded, of own answers
+	atMs        float64
+	since       int // answers since it was told
+	words       []word
+	heard       bool
+}
+
+// Book is what one gateway knows of latencies. Its size is bounded by its settings.
+type Book struct {
+	set    Settings
+	nodes  map[uint64]*node
+	order  []uint64
+	toldMs float64
+}
+
+// New returns an empty book, or an error if the settings cannot be used.
+func New(set Settings) (*Book, error) {
+	if !(set.FadeMs > 0) || !(set.MostAgeMs > 0) || !(set.TellMs > 0 && set.TellMs < set.MostAgeMs) || set.MostTold < 1 || set.MostNodes < 1 ||
+		set.MostPeers < 2 {
+		return nil, fmt.Errorf("latency: told every %v ms, counting for %v, of %d nodes by %d peers", set.TellMs, set.MostAgeMs, set.MostNodes, set.MostPeers)
+	}
+	return &Book{set: set, nodes: map[uint64]*node{}, toldMs: math.Inf(-1)}, nil
+}
+
+// List tells which nodes this gateway's own list has; others are forgotten, and what is said of them is not taken.
+func (b *Book) List(nodes []uint64) {
+	keep := map[uint64]*node{}
+	b.order = nil
+	for _, id := range nodes[:min(len(nodes), b.set.MostNodes)] {
+		if keep[id] != nil {
+			continue
+		}
+		if keep[id] = b.nodes[id]; keep[id] == nil {
+			keep[id] = &node{id: id}
+		}
+		b.order = append(b.order, id)
+	}
+	b.nodes = keep
+}
+
+// Observe takes in an answer's latency.
+func (b *Book) Observe(nowMs float64, id uint64, ms float64) {
+	n := b.nodes[id]
+	if n == nil || !(ms >= 0 && ms < 1e9) {
+		return
+	}
+	f := math.Exp(-max(0, nowMs-n.atMs) / b.set.FadeMs)
+	n.sum, n.weight, n.atMs = n.sum*f+ms, n.weight*f+1, nowMs
+	n.since++
+}
+
+// Step takes what others say, and returns what to tell them and what of their words has changed. Time must not run
+// backwards.
+func (b *Book) Step(nowMs float64, in []Sample) (tell []Sample, merged []Merged) {
+	for _, s := range in {
+		b.hear(nowMs, s)
+	}
+	if len(in) > 0 {
+		for _, id := range b.order {
+			if n := b.nodes[id]; n.heard {
+				n.heard = false
+				if m, ok := b.merge(nowMs, n); ok {
+					merged = append(merged, m)
+				}
+			}
+		}
+	}
+	if nowMs < b.toldMs+b.set.TellMs {
+		return nil, merged
+	}
+	var some []*node
+	for _, id := range b.order {
+		if n := b.nodes[id]; n.since > 0 {
+			some = append(some, n)
+		}
+	}
+	slices.SortStableFunc(some, func(x, y *node) int { return y.since - x.since })
+	for _, n := range some[:min(len(some), b.set.MostTold)] {
+		tell = append(tell, Sample{Node: n.id, Ms: n.sum / n.weight, AgeMs: nowMs - n.atMs})
+		n.since = 0
+		b.toldMs = nowMs
+	}
+	return tell, merged
+}
+
+// NextMs is when something is to be told.
+func (b *Book) NextMs(nowMs float64) float64 {
+	for _, id := range b.order {
+		if b.nodes[id].since > 0 {
+			return max(nowMs, b.toldMs+b.set.TellMs)
+		}
+	}
+	return math.Inf(1)
+}
+
+// hear keeps of each peer the youngest word.
+func (b *Book) hear(nowMs float64, s Sample) {
+	n := b.nodes[s.Node]
+	if n == nil || !(s.Ms >= 0 && s.Ms < 1e9) || !(s.AgeMs >= 0 && s.AgeMs <= b.set.MostAgeMs) {
+		return
+	}
+	w := word{s.Peer, s.Ms, nowMs - s.AgeMs}
+	n.words = slices.DeleteFunc(n.words, func(o word) bool { return nowMs-o.bornMs > b.set.MostAgeMs })
+	i := slices.IndexFunc(n.words, func(o word) bool { return o.peer == s.Peer })
+	switch {
+	case i < 0 && len(n.words) < b.set.MostPeers:
+		n.words = append(n.words, w)
+	case i >= 0 && (w.bornMs > n.words[i].bornMs || w.bornMs == n.words[i].bornMs && w.ms < n.words[i].ms):
+		n.words[i] = w
+	default:
+		return
+	}
+	n.heard = true
+}
+
+// merge is the lower middle of what is fresh, if at least two have said something.
+func (b *Book) merge(nowMs float64, n *node) (Merged, bool) {
+	var all []float64
+	for _, w := range n.words {
+		if nowMs-w.bornMs <= b.set.MostAgeMs {
+			all = append(all, w.ms)
+		}
+	}
+	if len(all) < 2 {
+		return Merged{}, false
+	}
+	slices.Sort(all)
+	return Merged{Node: n.id, Ms: all[(len(all)-1)/2], By: len(all)}, true
+}
--- a/internal/decide/verdict/contract.go
+++ b/internal/decide/verdict/contract.go
@@ -16,6 +16,8 @@
 	// A node is failing, as found here, from so many failures on, if they are that part of all attempts; and it serves
 	// well if there were as many attempts and failures are a tenth at the most.
 	LeastFailures, LeastPart float64
+	// MostTries bounds what is remembered of a node, in attempts: a long failure is not held against it for longer.
+	MostTries float64
 
 	MostAgeMs float64 // evidence that is older counts for nothing
 	TellMs    float64 // evidence that holds is told again so often
--- a/internal/decide/verdict/verdict.go
+++ b/internal/decide/verdict/verdict.go
@@ -42,7 +42,7 @@
 
 // New returns an empty book, or an error if the settings cannot be used.
 func New(set Settings) (*Book, error) {
-	if !(set.FadeMs > 0) || !(set.LeastFailures >= 1) || !(set.LeastPart > well && set.LeastPart <= 1) || !(set.MostAgeMs > 0) ||
+	if !(set.FadeMs > 0) || !(set.MostTries > set.LeastFailures) || !(set.LeastFailures >= 1) || !(set.LeastPart > well && set.LeastPart <= 1) || !(set.MostAgeMs > 0) ||
 		!(set.TellMs > 0 && set.TellMs <= set.MostAgeMs/2) || set.Origins < 2 || !(set.OfAlive >= 0 && set.OfAlive <= 1) ||
 		!(set.MostOut >= 0 && set.MostOut < 1) || set.MostNodes < 1 || set.MostPeers < 1 {
 		return nil, fmt.Errorf("verdict: evidence of %v ms told every %v, of %d gateways, on %d nodes, or parts out of range",
@@ -83,8 +83,14 @@
 	if failed {
 		n.bad++
 	}
+	if n.tries > b.set.MostTries {
+		n.bad, n.tries = n.bad*b.set.MostTries/n.tries, b.set.MostTries
+	}
 }
 
+// FindMs bounds how long a finding outlasts the failures: even with no attempt that goes well it fades by then.
+func (set Settings) FindMs() float64 { return set.FadeMs * math.Log(set.MostTries/set.LeastFailures) }
+
 // Close takes in that a node drains or is gone, by this gateway's own list.
 func (b *Book) Close(id uint64) {
 	if n := b.nodes[id]; n != nil {
--- a/internal/decide/verdict/verdict_test.go
+++ b/internal/decide/verdict/verdict_test.go
@@ -9,7 +9,7 @@
 )
 
 func settings() Settings {
-	return Settings{FadeMs: 2000, LeastFailures: 3, LeastPart: 0.5, MostAgeMs: 3000, TellMs: 1000, Origins: 2, OfAlive: 0.34, MostOut: 0.34,
+	return Settings{FadeMs: 2000, LeastFailures: 3, LeastPart: 0.5, MostTries: 10, MostAgeMs: 3000, TellMs: 1000, Origins: 2, OfAlive: 0.34, MostOut: 0.34,
 		MostNodes: 50, MostPeers: 8}
 }
 
@@ -71,7 +71,7 @@
 	if tell, out = b.Step(1000, []Evidence{say(5, 1, 100, 1)}); len(out) != 1 || len(tell) != 1 || tell[0].Percent != 100 {
 		t.Errorf("with another's word %v, tells %v", out, tell)
 	}
-	for range 40 {
+	for range 60 {
 		b.Observe(1500, 1, false)
 	}
 	tell, out = b.Step(1500, []Evidence{say(6, 1, 100, 1), say(7, 1, 100, 1), say(8, 1, 100, 1)})
@@ -89,6 +89,29 @@
 	}
 }
 
+// However long a node has failed, a finding is over within its bound, and sooner if attempts go well.
+func TestFindingsEnd(t *testing.T) {
+	for _, good := range []bool{false, true} {
+		b := book(t, 1)
+		for now := range 10_000 {
+			b.Observe(float64(now), 1, true)
+		}
+		end := 0.0
+		for now := 10_000.0; ; now += 10 {
+			if good && int(now)%400 == 0 {
+				b.Observe(now, 1, false)
+			}
+			if b.Step(now, nil); b.finds(b.nodes[1], Failing) == 0 {
+				end = now - 10_000
+				break
+			}
+		}
+		if bound := settings().FindMs(); end > bound+10 || !good && end < bound-10 || good && end > bound-200 {
+			t.Errorf("attempts that go well %v: over after %.0f ms, bound %.0f", good, end, bound)
+		}
+	}
+}
+
 // Evidence ends by age alone, and no more than the stated part is out, those that most find.
 func TestAgeAndMost(t *testing.T) {
 	b := book(t, 1, 2, 3, 4, 5, 6)
--- a/internal/peer/datagram/codec.go
+++ b/internal/peer/datagram/codec.go
@@ -21,6 +21,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gaugerelay/internal/decide/latency"
 	"gaugerelay/internal/decide/members"
 	"gaugerelay/internal/decide/share"
 	"gaugerelay/internal/decide/verdict"
@@ -39,11 +40,15 @@
 	typeRumour = 2
 	typeShare  = 3
 	typeWord   = 4
+	typeSample = 5
 
 	memberSize = 7
 	rumourSize = 17
 	shareSize  = 21
 	wordSize   = 20
+	sampleSize = 12
+
+	sampleStep = 0.125 // ms of a latency
 )
 
 // Packet is what a datagram holds. Peers in its messages are not encoded: they are the sender, or the receiver.
@@ -54,6 +59,7 @@
 	Members []members.Message // each datagram has the rumours of all of its messages; decoded, the first has them
 	Share   []share.Message
 	Words   []verdict.Evidence
+	Samples []latency.Sample
 }
 
 // Why a datagram is dropped.
@@ -119,6 +125,13 @@
 			return binary.BigEndian.AppendUint16(b, uint16(max(0, min(math.MaxUint16, e.AgeMs))))
 		})
 	}
+	for _, s := range p.Samples {
+		add(typeSample, sampleSize, func(b []byte) []byte {
+			b = binary.BigEndian.AppendUint64(b, s.Node)
+			b = binary.BigEndian.AppendUint16(b, uint16(max(0, min(math.MaxUint16, s.Ms/sampleStep))))
+			return binary.BigEndian.AppendUint16(b, uint16(max(0, min(math.MaxUint16, s.AgeMs))))
+		})
+	}
 	for _, m := range p.Members {
 		add(typeMember, memberSize, func(b []byte) []byte {
 			b = binary.BigEndian.AppendUint32(append(b, byte(m.Kind)), m.Seq)
@@ -189,7 +202,10 @@
 		case kind == typeWord && len(x) >= wordSize:
 			p.Words = append(p.Words, verdict.Evidence{Peer: p.From, Kind: verdict.Kind(x[0]), Node: binary.BigEndian.Uint64(x[1:]), Percent: x[9],
 				Stamp: binary.BigEndian.Uint64(x[10:]), AgeMs: float64(binary.BigEndian.Uint16(x[18:]))})
-		case kind >= typeMember && kind <= typeWord:
+		case kind == typeSample && len(x) >= sampleSize:
+			p.Samples = append(p.Samples, latency.Sample{Peer: p.From, Node: binary.BigEndian.Uint64(x),
+				Ms: float64(binary.BigEndian.Uint16(x[8:])) * sampleStep, AgeMs: float64(binary.BigEndian.Uint16(x[10:]))})
+		case kind >= typeMember && kind <= typeSample:
 			return Packet{}, ErrItem
 		}
 	}
--- a/internal/peer/datagram/codec_test.go
+++ b/internal/peer/datagram/codec_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"testing"
 
+	"gaugerelay/internal/decide/latency"
 	"gaugerelay/internal/decide/members"
 	"gaugerelay/internal/decide/share"
 	"gaugerelay/internal/decide/verdict"
@@ -14,8 +15,9 @@
 func sample() Packet {
 	return Packet{From: 3, Life: 77, Members: []members.Message{{Kind: members.Ack, Peer: 3, Seq: 5, Target: 1, Rumours: []members.Rumour{
 		{Member: 3, Incarnation: 9, Life: 77}, {Member: 2, State: members.Suspect, Incarnation: 1 << 40, By: 4}}}},
-		Share: []share.Message{{Kind: share.Grant, Pot: 0xb4d60021, Peer: 3, Life: 77, To: 5, Seq: 8, Part: 0.25}},
-		Words: []verdict.Evidence{{Peer: 3, Node: 1 << 60, Kind: verdict.Closed, Percent: 80, Stamp: 1 << 41, AgeMs: 250}}}
+		Share:   []share.Message{{Kind: share.Grant, Pot: 0xb4d60021, Peer: 3, Life: 77, To: 5, Seq: 8, Part: 0.25}},
+		Words:   []verdict.Evidence{{Peer: 3, Node: 1 << 60, Kind: verdict.Closed, Percent: 80, Stamp: 1 << 41, AgeMs: 250}},
+		Samples: []latency.Sample{{Peer: 3, Node: 77, Ms: 12.5, AgeMs: 40}}}
 }
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/peer/fleet/fleet.go
+++ b/internal/peer/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
+	"gaugerelay/internal/decide/latency"
 	"gaugerelay/internal/decide/members"
 	"gaugerelay/internal/decide/share"
 	"gaugerelay/internal/decide/verdict"
@@ -71,23 +72,33 @@
 )
 
 func (o Options) verdict() verdict.Settings {
-	return verdict.Settings{FadeMs: 2000, LeastFailures: 3, LeastPart: 0.5, MostAgeMs: wordAgeMs, TellMs: wordTellMs, Origins: 2, OfAlive: 0.34,
+	return verdict.Settings{FadeMs: 2000, LeastFailures: 3, LeastPart: 0.5, MostTries: 10, MostAgeMs: wordAgeMs, TellMs: wordTellMs, Origins: 2, OfAlive: 0.34,
 		MostOut: 0.34, MostNodes: 4096, MostPeers: min(len(o.Peers), 64)}
 }
 
+// Latencies that others have measured count for so long, as an answer each time that one more is heard of.
+const (
+	seenAgeMs  = 1000
+	seenTellMs = 200
+)
+
+func (o Options) latency() latency.Settings {
+	return latency.Settings{FadeMs: 500, MostAgeMs: seenAgeMs, TellMs: seenTellMs, MostTold: 14, MostNodes: 4096, MostPeers: min(max(2, len(o.Peers)), 64)}
+}
+
 // Bounds are the times that the settings lead to.
 type Bounds struct {
 	DetectMs float64 // until a gateway that died is held for dead
 	PartMs   float64 // until what it had borrowed is back
 	HoldMs   float64 // until a gateway that starts has all of its own part
 	WordMs   float64 // the age beyond which what another has found decides nothing
-	ShunMs   float64 // until a wrong verdict is over once nobody finds it any more
+	ShunMs   float64 // from the last failure until a verdict for it is over, if no datagram is lost; WordMs more if one is
 }
 
 // Bounds are what holds for these options.
 func (o Options) Bounds() Bounds {
 	return Bounds{DetectMs: o.members().DetectMs(), PartMs: o.share().HoldMs(), HoldMs: o.share().HoldMs(), WordMs: wordAgeMs,
-		ShunMs: wordAgeMs + restMs}
+		ShunMs: o.verdict().FindMs() + restMs}
 }
 
 // Loop is what the fleet asks of the loop.
@@ -108,6 +119,7 @@
 	members *members.Book
 	share   *share.Book
 	verdict *verdict.Book
+	latency *latency.Book
 	nodes   map[uint64]*core.Node // as listed, by what all gateways call them
 	gone    map[uint64]float64    // when
 	seen    []datagram.Seen
@@ -116,6 +128,7 @@
 	toM     []members.Message
 	toS     []share.Message
 	toV     []verdict.Evidence
+	toL     []latency.Sample
 	turn    int // of those who hear findings
 	shunAt  float64
 	nextMs  float64
@@ -136,6 +149,9 @@
 	if f.verdict, err = verdict.New(o.verdict()); err != nil {
 		return nil, err
 	}
+	if f.latency, err = latency.New(o.latency()); err != nil {
+		return nil, err
+	}
 	f.share.Peers(f.members.Alive())
 	f.verdict.Alive(len(o.Peers))
 	return f, nil
@@ -179,12 +195,13 @@
 		f.metrics.Add("fleet_datagrams_again", 1)
 		return
 	}
-	if len(f.toM)+len(f.toS)+len(f.toV) > mostInbox {
+	if len(f.toM)+len(f.toS)+len(f.toV)+len(f.toL) > mostInbox {
 		f.metrics.Add("fleet_datagrams_unread", 1)
 		return
 	}
 	f.metrics.Add("fleet_datagrams_taken", 1)
 	f.toM, f.toS, f.toV = append(f.toM, p.Members...), append(f.toS, p.Share...), append(f.toV, p.Words...)
+	f.toL = append(f.toL, p.Samples...)
 	f.nextMs = 0
 }
 
@@ -226,6 +243,7 @@
 		}
 	}
 	slices.Sort(closed)
+	f.latency.List(ids)
 	f.verdict.List(append(ids, closed...))
 	for _, id := range closed {
 		f.verdict.Close(id)
@@ -234,12 +252,15 @@
 }
 
 // Ended implements core.Fleet.
-func (f *Fleet) Ended(nowMs float64, n *core.Node, s policy.Status) {
+func (f *Fleet) Ended(nowMs float64, n *core.Node, s policy.Status, latencyMs float64) {
+	id := name(n)
 	switch s {
 	case policy.OK:
-		f.verdict.Observe(nowMs, name(n), false)
+		f.verdict.Observe(nowMs, id, false)
+		f.latency.Observe(nowMs, id, latencyMs)
+		f.wake(nowMs, min(f.nextMs, max(nowMs+5, f.latency.NextMs(nowMs))))
 	case policy.Error, policy.TimedOut, policy.ConnectFailed, policy.Reset:
-		f.verdict.Observe(nowMs, name(n), true)
+		f.verdict.Observe(nowMs, id, true)
 		f.wake(nowMs, min(f.nextMs, nowMs+20))
 	}
 }
@@ -283,8 +304,8 @@
 	if nowMs < f.nextMs {
 		return nil
 	}
-	toM, toS, toV, asked := f.toM, f.toS, f.toV, f.asked
-	f.toM, f.toS, f.toV, f.asked = nil, nil, nil, nil
+	toM, toS, toV, toL, asked := f.toM, f.toS, f.toV, f.toL, f.asked
+	f.toM, f.toS, f.toV, f.toL, f.asked = nil, nil, nil, nil, nil
 	mOut, changes := f.members.Step(nowMs, toM)
 	for _, c := range changes {
 		f.metrics.Add("fleet_changes", 1)
@@ -300,14 +321,20 @@
 		f.verdict.Alive(1 + len(alive))
 	}
 	tell, events := f.judge(nowMs, toV)
+	samples, merged := f.latency.Step(nowMs, toL)
+	for _, m := range merged {
+		if n := f.nodes[m.Node]; n != nil {
+			events = append(events, policy.Seen{Node: n.ID(), Latency: clock.Duration(m.Ms)})
+		}
+	}
 	sOut, parts := f.share.Step(nowMs, asked, toS)
 	for _, p := range parts {
 		events = append(events, policy.Part{Volume: policy.VolumeID(p.Pot), Part: p.Part})
 		f.metrics.Add("fleet_parts_changed", 1)
 	}
-	f.send(mOut, sOut, tell)
+	f.send(mOut, sOut, tell, samples)
 	f.nextMs = math.Inf(1)
-	next := min(f.members.NextMs(), f.share.NextMs(nowMs), f.verdict.NextMs(nowMs))
+	next := min(f.members.NextMs(), f.share.NextMs(nowMs), f.verdict.NextMs(nowMs), f.latency.NextMs(nowMs))
 	if len(f.verdict.Out()) > 0 {
 		next = min(next, nowMs+shunMs)
 	}
@@ -330,7 +357,7 @@
 }
 
 // send makes datagrams of what goes to each member.
-func (f *Fleet) send(mOut []members.Message, sOut []share.Message, tell []verdict.Evidence) {
+func (f *Fleet) send(mOut []members.Message, sOut []share.Message, tell []verdict.Evidence, samples []latency.Sample) {
 	if f.socket == nil {
 		return
 	}
@@ -356,6 +383,11 @@
 			packet(peer).Words = tell
 		}
 	}
+	if len(samples) > 0 {
+		for _, peer := range f.hearers() {
+			packet(peer).Samples = samples
+		}
+	}
 	for _, peer := range to {
 		if int(peer) >= len(f.opt.Peers) {
 			continue
--- a/internal/standin/fleet/rig.go
+++ b/internal/standin/fleet/rig.go
@@ -21,6 +21,10 @@
 	"time"
 )
 
+// RecoverBoundMs bounds Result.RecoverMs: what gateways found fades, the rest between two tries passes, and the count
+// takes a step. A datagram that is lost would add the age of words; no scenario that measures it loses any.
+const RecoverBoundMs = 2408.0 + 400 + 400
+
 // Options are a run.
 type Options struct {
 	Binary   string // of the gateway
@@ -45,6 +49,7 @@
 	BoundOver                 float64 // what the rule allows
 	Datagrams                 int
 	WrongEjections            int     // gateways that were kept from a node which served them well
+	RecoverMs                 float64 // until a node that failed for all is used again
 	Unheard                   float64 // tries a second at a draining node of which a gateway's own list is silent
 	Shunned                   float64 // tries a second from each gateway at a node that fails for all, behind a second of it
 	Broken                    []string
@@ -296,6 +301,30 @@
 	}
 }
 
+// recovers waits until a node that is well again gets half of what the next one gets, from all gateways together, and
+// notes how long that took. It gives up behind twice the bound.
+func (r *Rig) recovers(shard int) {
+	began, last := time.Now(), r.platform.counts()
+	for {
+		r.whole(400 * time.Millisecond)
+		now := r.platform.counts()
+		there, next := 0, 0
+		for g := range r.gates {
+			there += now[g][shard] - last[g][shard]
+			next += now[g][(shard+1)%r.opt.Shards] - last[g][(shard+1)%r.opt.Shards]
+		}
+		last = now
+		took := float64(time.Since(began).Milliseconds())
+		if 2*there >= next && there >= len(r.gates) || took > 2*RecoverBoundMs {
+			r.count(func(res *Result) { res.RecoverMs = max(res.RecoverMs, took) })
+			if took > RecoverBoundMs && r.opt.Part == 0 { // short runs are for any machine, and times are this one's
+				r.broken("a node that is well again is used after %.0f ms, bound %.0f", took, RecoverBoundMs)
+			}
+			return
+		}
+	}
+}
+
 // shift gives the lead of each volume to the next of its hosts.
 func (r *Rig) shift() {
 	r.mu.Lock()
--- a/internal/standin/fleet/scenarios.go
+++ b/internal/standin/fleet/scenarios.go
@@ -125,7 +125,7 @@
 			r.count(func(res *Result) { res.Shunned = max(res.Shunned, tries) })
 			r.platform.fail(g, 0, false)
 		}
-		r.whole(4 * time.Second) // a verdict ends by age, or by what the tries find
+		r.recovers(0)
 		before = r.platform.counts()
 		r.wait(2 * time.Second)
 		r.ejected(func(int) bool { return true }, 0, before)
@@ -153,21 +153,29 @@
 		r.ejected(func(int) bool { return true }, 1, before)
 	}},
 	{"a node drains, and one gateway's list does not say so", func(r *Rig) {
-		last := len(r.gates) - 1
-		for g := range last {
-			r.platform.drain(g, 1, true)
+		r.mu.Lock()
+		unheard := r.hosts(0)[r.lead[0]].n // one with traffic
+		r.mu.Unlock()
+		others := func(f func(g int)) {
+			for g := range r.gates {
+				if g != unheard {
+					f(g)
+				}
+			}
 		}
+		others(func(g int) { r.platform.drain(g, 1, true) })
 		r.whole(1500 * time.Millisecond) // the settings' grace, and a half of it for the list
 		before, began := r.platform.counts(), time.Now()
 		r.wait(2 * time.Second)
-		tries := float64(r.platform.counts()[last][1]-before[last][1]) / time.Since(began).Seconds()
+		now := r.platform.counts()
+		tries := float64(now[unheard][1]-before[unheard][1]) / time.Since(began).Seconds()
 		r.count(func(res *Result) { res.Unheard = max(res.Unheard, tries) })
-		for g := range last {
-			if n := r.platform.counts()[g][1] - before[g][1]; n > 0 {
+		others(func(g int) {
+			if n := now[g][1] - before[g][1]; n > 0 {
 				r.broken("n%d sent %d requests to a node that drains", g, n)
 			}
 			r.platform.drain(g, 1, false)
-		}
+		})
 		r.wait(time.Second)
 	}},
 	{"the way to a node is silent for one gateway, then breaks", func(r *Rig) {
--- a/scheduler.go
+++ b/scheduler.go
@@ -152,6 +152,10 @@
 			if n := s.nodes[e.Node]; n != nil {
 				n.rest, n.restTill, n.holdUntil = e.Rest, s.now+e.Rest, max(n.holdUntil, n.lastSend+e.Rest)
 			}
+		case Seen:
+			if n := s.nodes[e.Node]; n != nil {
+				n.seen(e.Latency)
+			}
 		case Wake:
 			if s.now >= s.wakeAt {
 				s.wakeSet = false
@@ -449,15 +453,6 @@
 	r.held = true
 }
 
-// unhold takes a request out of its flow.
-func (s *Scheduler) unhold(r *request) {
-	f := r.shard.byVol[r.Volume]
-	if i := slices.Index(f.held, r); i >= 0 {
-		f.held = slices.Delete(f.held, i, i+1)
-	}
-	r.held = false
-}
-
 // ---- release ----
 
 // release sends held requests of a shard while the window of its node has room, and gives up those that can
@@ -592,7 +587,7 @@
 // send starts an attempt and books it everywhere.
 func (s *Scheduler) send(n *node, f *flow, r *request) {
 	sh := r.shard
-	s.unhold(r)
+	r.unhold()
 	if len(r.tries) == 0 {
 		f.vol.limit.take(s.now, r.Units)
 	} else if s.set.ExtraWindow > 0 {
@@ -738,7 +733,7 @@
 func (s *Scheduler) end(r *request) {
 	r.over = true
 	if r.held {
-		s.unhold(r)
+		r.unhold()
 	}
 	s.settle(r)
 }
