--- a/cmd/gaugelab/fleet.go
+++ b/cmd/gaugelab/fleet.go
@@ -36,8 +36,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("served %d (%.0f units), refused %d, failed %d; %d pauses, %d datagrams\n", res.Served, res.ServedUnits, res.Refused, res.Failed,
-		res.Pauses, res.Datagrams)
+	fmt.Printf("served %d (%.0f units), refused %d, failed %d; %d pauses, %d datagrams, %d stalls of the machine\n", res.Served, res.ServedUnits, res.Refused, res.Failed,
+		res.Pauses, res.Datagrams, res.Stalls)
 	fmt.Printf("a node that fails for all: at most %.1f tries a second from each gateway; one that drains unheard of: %.1f\n",
 		res.Shunned, res.Unheard)
 	for _, b := range res.Broken {
