Let the deployments suite see lists that are not followed, cold nodes, and long waits at the end

The lines at fault are the suite's: a node that drained turned all away and was gone 3 s behind its drain, mostly before the rule's grace behind its being told.

--- a/internal/standin/deployments/deployments_test.go
+++ b/internal/standin/deployments/deployments_test.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 24, "how many deployments are played")
+	seeds = flag.Int("seeds", 48, "how many deployments are played")
 	from  = flag.Uint64("from", 1, "the first seed")
 	line  = flag.String("line", "", "the file that the last line goes to")
 )
--- a/internal/standin/deployments/draw.go
+++ b/internal/standin/deployments/draw.go
@@ -54,6 +54,7 @@
 	TellsElsewhere                                         bool
 	ReportFields                                           []string
 	LagMs                                                  float64 // of discovery
+	TurnAway                                               bool    // nodes that drain turn away what comes
 }
 
 // volume is drawn with where its requests come from and go to.
@@ -132,6 +133,7 @@
 	if yes(0.4) { // nodes that can do far more: nothing but limits holds a surge back
 		d.Capacity *= 8
 	}
+	d.TurnAway = yes(0.5)
 	d.ColdBears = d.FallMultiple * d.StartCapacity * d.Capacity * d.FallMs / 1000
 	return d
 }
--- a/internal/standin/deployments/node.go
+++ b/internal/standin/deployments/node.go
@@ -88,7 +88,7 @@
 		a.out = false
 		w.mu.Unlock()
 	})
-	full := inst.waiting >= 30 || inst.drains || req.shard >= 0 && req.shard != inst.shard
+	full := inst.waiting >= 30 || inst.drains && w.d.TurnAway || req.shard >= 0 && req.shard != inst.shard
 	draw, noise := w.rnd.Float64(), 0.3+1.4*w.rnd.Float64()
 	frozen := inst.frozen
 	if full {
--- a/internal/standin/deployments/world.go
+++ b/internal/standin/deployments/world.go
@@ -332,14 +332,16 @@
 			old.drains = true
 			young := w.newInstance(name, shard, time.Now())
 			w.mu.Unlock()
+			// One that drains stays for longer than the rule's grace behind its being told: who has not heard of it is seen.
+			stays := max(3000, w.d.LagMs+w.d.GraceMs+2500)
 			if !same {
 				w.publish(old, "Terminating", w.d.LagMs)
-				w.publish(old, "Gone", w.d.LagMs+3000)
+				w.publish(old, "Gone", w.d.LagMs+stays)
 			} else {
 				w.publish(old, "Gone", w.d.LagMs)
 			}
 			w.publish(young, "Ready", w.d.LagMs+50)
-			time.Sleep(3 * time.Second)
+			time.Sleep(clock.Duration(stays))
 			w.mu.Lock()
 			old.dead = true
 			old.stop()
@@ -395,13 +397,16 @@
 		}
 	}
 	if rnd.IntN(2) == 0 { // a node says nothing for a while
-		shard := rnd.IntN(w.d.Shards)
+		shard, long := rnd.IntN(w.d.Shards), 1500*time.Millisecond
+		if rnd.IntN(2) == 0 {
+			long = 6 * time.Second // longer than a gateway that stops has
+		}
 		at(2+6*rnd.Float64(), func() {
 			w.mu.Lock()
 			inst := w.instances[shard]
 			inst.frozen = make(chan struct{})
 			w.mu.Unlock()
-			time.Sleep(1500 * time.Millisecond)
+			time.Sleep(long)
 			w.mu.Lock()
 			close(inst.frozen)
 			inst.frozen = nil
