Find a silent watch after 4.5 s and open it anew within a second

Logged by call and line of discovery: 56 gateways whose watches fell silent within a second of their first line, told so at 7.1 to 8.0 s, and calling again 0.9 to 9.9 s after that; 51 nodes drained at 8.4 s, and 45 gateways heard of it between 9.9 and 17.8 s. At fault: silentMs (7 s) in discovery.go, and the back-off of askLater behind a watch that no call of which had failed.

A watch without a line for 4.5 s is dead: the protocol sends one every 2 s, so two are missing. It is told as Silent, and the module asks again within a second, spread over it, and backs nothing off; calls that fail back off as before.

A test of 300 gateways, and the discovery tests expect Silent only of calls that were answered.

--- a/api.go
+++ b/api.go
@@ -136,6 +136,7 @@
 	Whole                   // the complete list; what is missing is gone
 	Stale                   // the complete list as last seen before the start
 	Broken                  // a Subscribe or Fetch failed or the subscription dropped; no entries
+	Silent                  // a subscription that had answered says nothing any more; no entries
 )
 
 // Event is something that happened to a gateway.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -336,3 +336,49 @@
 		t.Errorf("%v answers of %v are kept", other.answers, other.sum)
 	}
 }
+
+// Watches that fall silent are opened anew within a second, spread over it: what they miss counts as told 6 s behind their
+// last line, and 4.5 s of that are over. That is no failed call, so it backs nothing off; one that fails does.
+func TestSilentWatchesAreOpenedAnewSoon(t *testing.T) {
+	const gates = 300
+	var asked []time.Duration
+	for i := range gates {
+		set := testSettings()
+		set.Siblings, set.AskList = gates, true
+		s, err := New(set, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		calls := func(until time.Duration) (at []time.Duration) {
+			for ; now < until; now += 10 * ms {
+				for _, a := range s.Step(now, []Event{Wake{}}) {
+					if _, ok := a.(Subscribe); ok {
+						at = append(at, now)
+						s.Step(now, []Event{NodeList{Scope: Whole, Nodes: []Node{{ID: 1}}}})
+					}
+				}
+			}
+			return at
+		}
+		if at := calls(time.Hour + 10*time.Second); len(at) != 1 {
+			t.Fatalf("%d first calls", len(at))
+		}
+		s.Step(now, []Event{NodeList{Scope: Silent}})
+		fell := now
+		at := calls(now + 3*time.Second)
+		if len(at) != 1 || at[0] > fell+silentCall+20*ms {
+			t.Fatalf("gateway %d: asked again %v behind the silence", i, at)
+		}
+		asked = append(asked, at[0]-fell)
+	}
+	early := 0
+	for _, d := range asked {
+		if d < silentCall/2 {
+			early++
+		}
+	}
+	if early < gates/3 || early > gates*2/3 {
+		t.Errorf("%d of %d ask in the first half of the spread", early, gates)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -31,7 +31,9 @@
 const (
 	maxLine  = 1 << 20 // bytes of one object of the watch; the largest fleet's whole list takes a few KiB
 	answerMs = 3000    // a call that has brought no first object by then has failed
-	silentMs = 7000    // a watch sends at least an empty line every 2 s: without one for so long it is dead
+	// A watch sends at least an empty line every 2 s: without one for so long two are missing, and it is dead. What it
+	// misses counts as told 6 s after its last line, by when another has to be open.
+	silentMs = 4500
 
 	// The watch on this machine's agent is opened again at once, then after a pause that doubles in these bounds
 	// until the agent says something. The longest is small beside the time that a gateway has to stop sending to a
@@ -44,6 +46,8 @@
 	"Ready": policy.Live, "Terminating": policy.Draining, "Gone": policy.Gone,
 }
 
+var errSilent = errors.New("silent")
+
 var errAnew = errors.New("its versions have begun anew")
 
 // Decode reads a list or a change. Bad entries are left out and counted. A state of a later protocol is read
@@ -76,7 +80,8 @@
 type Watcher struct {
 	Clock   clock.Clock
 	Metrics *metrics.Set
-	// Tell takes each change. A Broken list tells that a watch that was started has failed or ended; when to ask
+	// Tell takes each change. A Broken list tells that a watch that was started has failed or ended, a Silent one that
+	// it was answered and then said nothing any more; when to ask
 	// again is not decided here: the module backs off with jitter.
 	Tell func(core.List)
 
@@ -173,7 +178,8 @@
 			w.followed(watching)
 			return
 		}
-		err := w.watch(watching, func() {})
+		spoke := false
+		err := w.watch(watching, func() { spoke = true })
 		w.mu.Lock()
 		w.open = false
 		known := w.moving || ctx.Err() != nil
@@ -181,7 +187,11 @@
 		if !known {
 			w.Metrics.Add("watch_broken", 1)
 			log.Printf("discovery: watch ended: %v", err)
-			w.Tell(core.List{Scope: policy.Broken})
+			scope := policy.Broken
+			if spoke && errors.Is(err, errSilent) {
+				scope = policy.Silent // the call had not failed
+			}
+			w.Tell(core.List{Scope: scope})
 		}
 	}()
 }
@@ -236,7 +246,7 @@
 	defer func() { stop() }()
 	arm := func(ms float64) {
 		stop()
-		stop = w.Clock.AfterFunc(ms, func() { cancel(errors.New("silent")) })
+		stop = w.Clock.AfterFunc(ms, func() { cancel(errSilent) })
 	}
 	arm(answerMs)
 	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&after=%d", addr, after)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -110,7 +110,7 @@
 	feed <- `{"version":45,"servers":[]}`
 	want("a change", policy.Patch, 45)
 	now.Advance(silentMs + 1)
-	want("silence", policy.Broken, 0)
+	want("silence", policy.Silent, 0)
 	feed <- "end"
 	if len(calls) != 0 || m.Get("watch_broken") != 4 || m.Get("discovery_bad_lines") != 1 {
 		t.Errorf("%d calls more, %d broken, %d bad lines", len(calls), m.Get("watch_broken"), m.Get("discovery_bad_lines"))
--- a/internal/discovery/spoilt_test.go
+++ b/internal/discovery/spoilt_test.go
@@ -74,7 +74,10 @@
 			m, began := metrics.New(), time.Now()
 			told, broken := 0, make(chan float64, 2)
 			w := New("127.0.0.1:1", core.List{Version: 41}, clock.NewSystem(), m, func(l core.List) {
-				if l.Scope == policy.Broken {
+				if l.Scope == policy.Broken || l.Scope == policy.Silent {
+					if silent := l.Scope == policy.Silent; silent != (c.withMs == silentMs) {
+						t.Errorf("%s: told as silent %v", name, silent) // only a call that was answered has not failed
+					}
 					broken <- clock.Ms(time.Since(began))
 					return
 				}
--- a/scheduler.go
+++ b/scheduler.go
@@ -36,6 +36,7 @@
 	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
 	listCall      = 6 * time.Second / 100 // a call of discovery may take it so long, and all gateways call
+	silentCall    = time.Second           // calls behind watches that have fallen silent are spread over this
 	mostShards    = 1 << 12               // a list with a shard beyond, and beyond the settings', errs
 )
 
@@ -226,6 +227,11 @@
 
 // list applies news of the nodes. A node that drains or is gone gets nothing more from now on.
 func (s *Scheduler) list(l *NodeList) {
+	if l.Scope == Silent {
+		// No call has failed, and what such a watch misses counts as told soon: ask again at once, but not all together.
+		s.askWait, s.askAgain = 0, s.now+time.Duration(s.rnd.Float64()*float64(silentCall))
+		return
+	}
 	if l.Scope == Broken {
 		// The list is out of reach: the old one holds. Ask again, ever less often, unless the watch had held for
 		// long.
