--- a/scheduler.go
+++ b/scheduler.go
@@ -228,7 +228,7 @@
 // list applies news of the nodes. A node that drains or is gone gets nothing more from now on.
 func (s *Scheduler) list(l *NodeList) {
 	if l.Scope == Silent {
-		// No call has failed, and what such a watch misses counts as told soon: ask again at once, but not all together.
+		// No call has failed, and what such a watch misses counts as told soon: ask again, not all together.
 		s.askWait, s.askAgain = 0, s.now+time.Duration(s.rnd.Float64()*float64(silentCall))
 		return
 	}
