See clients leave behind what they sent on, and close no connection over unread bytes

Seen by reading, and by tests that fail without each mend: net/http watches an open request's client by reading one byte; once a client has sent a byte of a further request it is taken for there for good, so its request went to a node though it had left. A request whose client left while its connection was being dialled was written when that came up, where the settings do not let attempts be cancelled. Closing over unread bytes (error answers, the last answer while stopping, a resting connection that is shed) resets the connection. A request that the server had read together with the one before was sent on although its connection had just been shed.

Ruled out: http.Transport writing a cancelled request to a connection that comes up (60 tries, none); the check costs nothing and stays.

Change: a client's connection keeps what comes while a request is open, a largest request's worth, and reads on for the end. Each close ends the sending, reads on for 0.5 s at most, and closes then. The first byte of an attempt asks whether its client is still there. netutil.LimitListener hides CloseWrite, so the listener bounds connections itself.

--- a/internal/carrier/httpcarrier/backend.go
+++ b/internal/carrier/httpcarrier/backend.go
@@ -109,7 +109,7 @@
 // attempt runs one attempt to its end.
 func (b *Backend) attempt(ctx context.Context, a core.Attempt) core.Result {
 	for {
-		t := &try{Attempt: a, body: len(a.Request.Load.(*Load).Body)}
+		t := &try{Attempt: a, ctx: ctx, body: len(a.Request.Load.(*Load).Body)}
 		res := b.attemptOnce(ctx, a, t)
 		// A kept connection that turns out to be stale is gone by that, and nothing went out on it: taking another
 		// is no resend.
@@ -172,6 +172,8 @@
 func (b *Backend) ended(ctx context.Context, t *try) policy.Status {
 	whole := t.whole.Load()
 	switch cause := context.Cause(ctx); {
+	case !whole && t.Request.Left(): // nothing that its node has to answer for
+		return policy.Cancelled
 	case !whole && (cause == nil || !errors.Is(cause, context.Canceled)):
 		return policy.ConnectFailed
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/internal/carrier/httpcarrier/backend_test.go
+++ b/internal/carrier/httpcarrier/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -312,6 +313,44 @@
 	}
 }
 
+// A request whose client leaves while it waits for its connection is not written to it, whether or not the module gives
+// the attempt up, and its node has not to answer for it; nor is an attempt that is given up in the moment in which its
+// connection comes up.
+func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
+	for name, up := range map[string]func(r *core.Request, giveUp func()){
+		"left":               func(r *core.Request, _ func()) { r.Leave() },
+		"left and given up":  func(r *core.Request, giveUp func()) { r.Leave(); giveUp() },
+		"given up by itself": func(_ *core.Request, giveUp func()) { giveUp() },
+	} {
+		for range 20 {
+			read := make(chan string, 1)
+			addr := standin.Serve(t, func(c net.Conn) {
+				b := make([]byte, 1) // it ends the attempt with its first byte
+				n, _ := c.Read(b)
+				read <- string(b[:n])
+			})
+			b, s, _, _ := newBackend()
+			cancel := make(chan func(), 1)
+			a := core.Attempt{Request: request(true), Node: &core.Node{Addr: addr}, DeadlineMs: 1e12 + 1000}
+			b.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, addr)
+				up(a.Request, <-cancel)
+				return c, err
+			}
+			cancel <- b.Start(a)
+			if r := <-s.ends; r.Status != policy.Cancelled {
+				t.Errorf("%s: ended as %v", name, r.Status)
+			}
+			for len(read) == 0 { // it may not have got to the connections kept yet
+				b.Close()
+			}
+			if got := <-read; got != "" {
+				t.Fatalf("%s: %d bytes were written", name, len(got))
+			}
+		}
+	}
+}
+
 // A node told as draining while an attempt waited for its connection gets none of it.
 func TestDrainWhileConnecting(t *testing.T) {
 	node := newStand(t)
--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -23,7 +24,7 @@
 )
 
 var (
-	errOver   = errors.New("the node drains or is gone, or what the attempt draws on is over")
+	errOver   = errors.New("the attempt was given up, its client has left, its node drains or is gone, or what it draws on is over")
 	errStale  = errors.New("the connection cannot be used any more")
 	errSpoilt = errors.New("an answer that cannot be read")
 )
@@ -31,6 +32,7 @@
 // try follows one attempt through the transport.
 type try struct {
 	core.Attempt
+	ctx  context.Context
 	head []byte // as far as it has been written, until its end is found
 	body int    // bytes of it still to be written once head is
 	ends bool   // the end of the head was found
@@ -157,12 +159,16 @@
 	unwatch func()
 }
 
+// over tells whether the attempt must not begin any more: http.Transport may have taken up a request before it sees that it
+// is given up, and writes it then.
+func (t *try) over() bool { return t.ctx.Err() != nil || t.Over(t.conn.back.clock.NowMs()) }
+
 // Write guards three rules. A drain counts from the first byte of a send, and the attempt may have waited for
-// this connection to come up; an attempt has never run if its last byte was not written; and no request goes out
+// this connection to come up, as its client may have left meanwhile; an attempt has never run if its last byte was not written; and no request goes out
 // where something has come that no request asked for.
 func (c *conn) Write(p []byte) (int, error) {
 	t := c.try.Load()
-	if t != nil && !t.ends && len(t.head) == 0 && t.Over(c.back.clock.NowMs()) {
+	if t != nil && !t.ends && len(t.head) == 0 && t.over() {
 		return 0, errOver
 	}
 	c.mu.Lock()
@@ -195,7 +201,7 @@
 // unbegun tells whether a kept connection has failed before a byte of the attempt was handed to it, and sees to it
 // that none is. http.Transport drops a connection whose end it reads before it has written a request that waits.
 func (t *try) unbegun() bool {
-	if t.conn == nil || t.Over(t.conn.back.clock.NowMs()) {
+	if t.conn == nil || t.over() {
 		return false
 	}
 	t.conn.mu.Lock()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,9 +35,16 @@
 	Reply   func(Answer) // called exactly once unless Gone came first; must not block
 
 	id   policy.RequestID
-	gone bool
+	left atomic.Bool
 }
 
+// Leave tells that nobody waits for the answer any more. It may be called by anyone at any time, and counts at once: an
+// attempt that has to wait for its connection may be about to begin.
+func (r *Request) Leave() { r.left.Store(true) }
+
+// Left tells whether Leave was called.
+func (r *Request) Left() bool { return r.left.Load() }
+
 // Device tells whose copy of which exchange a request is. The desk decides what becomes of it.
 type Device struct {
 	ID, Key string
@@ -166,10 +173,10 @@
 	BeginMs    float64 // what it draws on is over then: its first byte goes out before, or never; 0: there is no such time
 }
 
-// Over tells whether an attempt of which no byte has gone out must not begin any more: its node is closed, or it waited,
-// for a connection or in a process that was stopped, for longer than what it draws on lasts.
+// Over tells whether an attempt of which no byte has gone out must not begin any more: its client has left, its node is
+// closed, or it waited, for a connection or in a process that was stopped, for longer than what it draws on lasts.
 func (a *Attempt) Over(nowMs float64) bool {
-	return a.Node.Closed() || a.BeginMs != 0 && nowMs >= a.BeginMs
+	return a.Request.Left() || a.Node.Closed() || a.BeginMs != 0 && nowMs >= a.BeginMs
 }
 
 // Result is how an attempt ended.
@@ -272,7 +279,7 @@
 
 // Take hands a client's request in.
 func (c *Core) Take(nowMs float64, r *Request) {
-	if r.gone {
+	if r.Left() {
 		return
 	}
 	if r.Device != nil && c.desk != nil {
@@ -301,7 +308,7 @@
 
 // Gone tells that a request's client has gone away: it gets no answer any more.
 func (c *Core) Gone(nowMs float64, r *Request) {
-	r.gone = true
+	r.Leave()
 	if r.Device != nil && c.desk != nil {
 		c.desk.Gone(nowMs, r)
 		return
--- a/internal/front/httpfront/conns.go
+++ b/internal/front/httpfront/conns.go
@@ -2,10 +2,17 @@
 
 import (
 	"container/list"
+	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"gaugerelay/internal/carrier/httpcarrier"
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/metrics"
 )
@@ -16,8 +23,17 @@
 	lingerMs = 2000
 	// speakMs is what a new connection has before it counts as a silent one, which goes before any that is idle.
 	speakMs = 500
+	// closeMs is how long a connection whose sending has ended is read on, so that its client can take the last answer
+	// and end it. It is as long as an answer may be late and still be one, by the platform's word.
+	closeMs = 500
+	// aheadMost is what is kept of what a client sends while its request is open: one more request, as large as it may
+	// be. What comes beyond is dropped, and the connection ends behind the answer; floodMost of that is read.
+	aheadMost = 16<<10 + httpcarrier.MaxBody
+	floodMost = 1 << 20
 )
 
+var errFlood = errors.New("more requests sent at once than may be")
+
 // Conns bounds the client connections. Over Most open ones it sheds silent and idle ones, so that a client
 // that has a request finds its connection taken and read. Only one from which nothing has been read since its
 // last answer is ever shed: a request that has been read is taken, and its connection stays until the answer.
@@ -32,40 +48,112 @@
 	idle  list.List     // of *client between requests, the longest idle first
 	armed bool          // a sweep is to come
 	quiet chan struct{} // while draining: closed once none is open
+	// of *client whose sending has ended, the first first; they are not counted as open once the server knows
+	closing list.List
 }
 
-// Listen returns a listener whose connections the server must be given for State to know them.
-func (c *Conns) Listen(ln net.Listener) net.Listener { return &listener{ln, c} }
+// Listen returns a listener whose connections the server must be given for State to know them; most are open at once,
+// those included whose last bytes are still read. It stands in for netutil.LimitListener, behind which a connection's
+// sending cannot be ended on its own.
+func (c *Conns) Listen(ln net.Listener, most int) net.Listener {
+	return &listener{Listener: ln, conns: c, room: make(chan struct{}, most), closed: make(chan struct{})}
+}
 
 type listener struct {
 	net.Listener
-	conns *Conns
+	conns  *Conns
+	room   chan struct{} // one for each open connection
+	once   sync.Once
+	closed chan struct{}
 }
 
 func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case l.room <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		<-l.room
 		return nil, err
 	}
-	return &client{Conn: nc, conns: l.conns}, nil
+	return &client{Conn: nc, conns: l.conns, closed: func() { <-l.room }}, nil
 }
 
-// client is a client's connection. Its fields belong to conns.mu.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// client is a client's connection.
 type client struct {
 	net.Conn
-	conns *Conns
-	in    *list.List // fresh, idle or nil
-	at    *list.Element
-	since float64 // when it got there
-	shed  bool
+	conns  *Conns
+	closed func() // called once it is closed
+
+	// These belong to conns.mu.
+
+	in      *list.List // fresh, idle or nil
+	at      *list.Element
+	since   float64 // when it got there
+	shed    bool
+	ending  *list.Element // in conns.closing, once its sending has ended
+	unguard func()        // stops what closes it at the latest
+	over    bool          // it is closed
+
+	// These belong to the server's goroutines of this connection, of which one reads at a time.
+
+	active  bool   // a whole head has been read, and its request is not answered yet
+	ahead   []byte // read while a request was open, and not handed to the server yet
+	flooded int    // bytes dropped beyond those
+
+	ended     atomic.Bool // the client's end has been read
+	discarded atomic.Bool // what still comes is being read
+}
+
+type connKey struct{}
+
+// Context makes the connection known to the front. It is an http.Server's ConnContext.
+func (c *Conns) Context(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+func clientOf(ctx context.Context) *client {
+	k, _ := ctx.Value(connKey{}).(*client)
+	return k
+}
+
+// wasShed tells whether the connection was closed before its request was taken up. The server may have read it together
+// with the one before, unseen by Read.
+func (k *client) wasShed() bool {
+	k.conns.mu.Lock()
+	defer k.conns.mu.Unlock()
+	return k.shed
 }
 
 // Read guards against a request that is read while its connection is shed: net/http calls a connection active
 // only once a whole head has come, so one being read still looks idle to it. What was read too late is dropped:
 // the client sees its connection closed and sends the request once more, and so it must not be taken here.
 func (k *client) Read(p []byte) (int, error) {
-	n, err := k.Conn.Read(p)
+	if k.flooded > 0 && !k.active {
+		return 0, errFlood
+	}
+	if k.active && len(p) == 1 {
+		return k.watch(p)
+	}
+	n, err := 0, error(nil)
+	if len(k.ahead) > 0 {
+		if n = copy(p, k.ahead); n == len(k.ahead) {
+			k.ahead = nil
+		} else {
+			k.ahead = k.ahead[n:]
+		}
+	} else {
+		n, err = k.Conn.Read(p)
+	}
 	if n == 0 {
+		k.heard(err)
 		return n, err
 	}
 	k.conns.mu.Lock()
@@ -77,6 +165,91 @@
 	return n, err
 }
 
+// watch waits for the client's end while its request is open: net/http reads one byte for that, and takes a byte of a
+// further request for a sign that the client is there, for good. A client that sends on and leaves would not be seen,
+// and its request be sent to a node for nobody. What comes is kept for the reads to follow. It ends with the client, or
+// when the request has been answered, by the deadline that net/http sets then.
+func (k *client) watch(p []byte) (int, error) {
+	for k.flooded < floodMost {
+		n, err := k.Conn.Read(p)
+		keep := min(n, aheadMost-len(k.ahead))
+		k.ahead = append(k.ahead, p[:keep]...)
+		k.flooded += n - keep
+		if err != nil {
+			k.heard(err)
+			return 0, err
+		}
+		if len(p) == 1 {
+			p = make([]byte, 4<<10)
+		}
+	}
+	return 1, nil // it is not watched any more, nor read
+}
+
+// heard notes the end of what the client sends.
+func (k *client) heard(err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		k.ended.Store(true)
+	}
+}
+
+// Close ends the sending, reads on until the client has ended its own, for closeMs at most, and closes the connection.
+// Closed over bytes that have not been read it would be reset, and with it the last answer where the client has not got
+// it yet: bytes may come in that very moment, and behind what is malformed there often are some.
+func (k *client) Close() error {
+	k.conns.mu.Lock()
+	k.endSending()
+	k.conns.mu.Unlock()
+	if k.ended.Load() {
+		k.finish()
+	} else if !k.discarded.Swap(true) {
+		go func() {
+			k.Conn.SetReadDeadline(time.Time{})
+			io.Copy(io.Discard, k.Conn)
+			k.finish()
+		}()
+	}
+	return nil
+}
+
+// endSending ends the sending and sees to it that the connection is closed. Of those that wait for their clients' ends
+// few may take the places of others, but while all are ended. conns.mu is held.
+func (k *client) endSending() {
+	c := k.conns
+	if k.ending != nil {
+		return
+	}
+	k.ending = c.closing.PushBack(k)
+	k.unguard = c.Clock.AfterFunc(closeMs, k.finish)
+	if half, ok := k.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		k.close()
+	}
+	if c.quiet == nil && c.closing.Len() > max(1, c.Most/16) {
+		first(&c.closing).close()
+	}
+}
+
+func (k *client) finish() {
+	k.conns.mu.Lock()
+	defer k.conns.mu.Unlock()
+	k.close()
+	k.conns.sweep()
+}
+
+// close closes the connection. conns.mu is held, and its sending has ended.
+func (k *client) close() {
+	if k.over {
+		return
+	}
+	k.over = true
+	k.conns.closing.Remove(k.ending)
+	k.unguard()
+	k.Conn.Close()
+	if k.closed != nil {
+		k.closed()
+	}
+}
+
 func (k *client) leave() {
 	if k.in != nil {
 		k.in.Remove(k.at)
@@ -102,10 +275,12 @@
 		c.open++
 		k.enter(&c.fresh)
 	case http.StateIdle:
-		if !k.shed {
+		// With part of a further request read it is none of those that may be closed.
+		if k.active = false; !k.shed && len(k.ahead) == 0 {
 			k.enter(&c.idle)
 		}
 	case http.StateActive:
+		k.active = true
 		k.leave()
 	case http.StateClosed, http.StateHijacked:
 		k.leave()
@@ -144,7 +319,7 @@
 		select {
 		case <-c.quiet:
 		default:
-			if c.open == 0 {
+			if c.open == 0 && c.closing.Len() == 0 {
 				close(c.quiet)
 			}
 		}
@@ -193,5 +368,5 @@
 	k.shed = true
 	c.open--
 	c.Metrics.Add("client_connections_shed", 1)
-	k.Conn.Close()
+	k.endSending() // the server reads on, and closes it
 }
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -102,6 +102,9 @@
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.Clock.NowMs()
+	if k := clientOf(r.Context()); k != nil && k.wasShed() {
+		panic(http.ErrAbortHandler) // its client has been told that it was not taken
+	}
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/devices.go
+++ b/internal/gateway/devices.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/net/netutil"
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
@@ -84,8 +83,10 @@
 		// A body may take as long as the longest time that a request may name; so may its answer.
 		p.serve = &http.Server{Handler: p.http, ReadHeaderTimeout: p.opt.FirstTime, ReadTimeout: 2*p.g.longest + p.opt.FirstTime,
 			WriteTimeout: 4*p.g.longest + p.opt.FirstTime, IdleTimeout: p.opt.IdleTime, MaxHeaderBytes: 16 << 10,
-			ConnState: p.conns.State, ConnContext: p.http.ConnContext, DisableGeneralOptionsHandler: true}
-		clients := p.conns.Listen(netutil.LimitListener(ln, p.opt.MaxConns))
+			ConnState: p.conns.State, ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+				return p.http.ConnContext(p.conns.Context(ctx, nc), nc)
+			}, DisableGeneralOptionsHandler: true}
+		clients := p.conns.Listen(ln, p.opt.MaxConns)
 		p.g.serve("devices", func() error { return p.serve.Serve(clients) })
 		log.Printf("%s: devices by HTTP on %s", p.g.cfg.Name, ln.Addr())
 	}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -20,7 +20,7 @@
 	front := &httpfront.Front{Clock: clock.NewManual(0), Loop: ready{}, Metrics: metrics.New()}
 	conns := &httpfront.Conns{Most: 9, Clock: clock.NewManual(0), Metrics: metrics.New()}
 	server := &http.Server{Handler: front, ConnState: conns.State}
-	go server.Serve(conns.Listen(ln))
+	go server.Serve(conns.Listen(ln, 9))
 	defer server.Close()
 	url := "http://" + ln.Addr().String() + "/metrics"
 	get := func(c *http.Client) error {
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"gaugerelay/internal/bgp"
 	"gaugerelay/internal/carrier/filecarrier"
 	"gaugerelay/internal/config"
@@ -49,8 +47,8 @@
 	}
 	p.serve = &http.Server{Handler: p.front, ReadHeaderTimeout: headTime, ReadTimeout: requestTime,
 		WriteTimeout: p.g.longest + answerTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10, ConnState: p.conns.State,
-		DisableGeneralOptionsHandler: true}
-	ln := p.conns.Listen(netutil.LimitListener(p.ln, max(1, p.g.cfg.Sockets*3/8)))
+		ConnContext: p.conns.Context, DisableGeneralOptionsHandler: true}
+	ln := p.conns.Listen(p.ln, max(1, p.g.cfg.Sockets*3/8))
 	p.g.serve("clients", func() error { return p.serve.Serve(ln) })
 	log.Printf("%s: listening on %s", p.g.cfg.Name, p.ln.Addr())
 	return nil
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -75,7 +75,10 @@
 }
 
 // Gone tells that a request's client has gone away.
-func (l *Loop) Gone(r *core.Request) { l.post(func(now float64) { l.core.Gone(now, r) }) }
+func (l *Loop) Gone(r *core.Request) {
+	r.Leave()
+	l.post(func(now float64) { l.core.Gone(now, r) })
+}
 
 // Written tells that a device's answer was written whole to its connection.
 func (l *Loop) Written(r *core.Request, link core.Link) {
