Derive all times of a stop from the longest deadline

Seen: drain added 600, 500 and 425 ms of fixed times inside a grace of the longest deadline and 700 ms, so with deadlines under 400 ms and one busy connection the program lived for 1,025 ms where it may be killed after 750 (test, 50 ms; 950 with 250 ms). The file front's drain had no bound at all where a client leaves its answer unread.

Change: stopTimesFor gives the times in order for any deadline; at 3 s they are what they were. The file front's wait ends with the program's time. Tests: the order and the bounds for deadlines of 1 ms up, and the whole gateway with a node that hangs and a client that never ends its head, for 50 ms to 5 s; the latter failed before for 50 and 250 ms.

--- a/internal/gateway/devices.go
+++ b/internal/gateway/devices.go
@@ -93,42 +93,35 @@
 	return nil
 }
 
-func (p *devices) stopping(graceMs float64) {
+func (p *devices) stopping(t stopTimes) {
 	if p.coap != nil {
-		p.coap.Stopping(p.g.Clock.NowMs() + graceMs - endMs)
+		p.coap.Stopping(p.g.Clock.NowMs() + t.answer)
 	}
 	if p.http != nil {
-		p.http.Drain(p.g.Clock.NowMs() + graceMs - endMs)
+		p.http.Drain(p.g.Clock.NowMs() + t.answer)
 	}
 }
 
 // drain takes new exchanges for as long as clients may not know of the stop. Then devices that are between
 // connections may still come for their answers, as long as the platform leaves time.
-func (p *devices) drain(graceMs float64) {
-	<-wait(acceptMs)
+func (p *devices) drain(t stopTimes) {
+	<-wait(t.accept)
 	p.g.loop.DrainDesk()
 	if p.coap != nil {
 		p.coap.Drain()
 	}
-	<-wait(graceMs - acceptMs - lastMs)
+	<-wait(t.close - t.accept)
 	p.close()
 	var all sync.WaitGroup
 	if p.coap != nil {
-		all.Go(func() {
-			over := make(chan struct{})
-			go func() { p.coap.End(); close(over) }()
-			select {
-			case <-over:
-			case <-wait(lastMs - endMs/2):
-			}
-		})
+		all.Go(func() { within(t.leave-t.close, p.coap.End) })
 	}
 	if p.http != nil {
 		p.http.Close()
 		all.Go(func() {
 			select {
 			case <-p.conns.Drain():
-			case <-wait(lastMs - endMs/2):
+			case <-wait(t.leave - t.close):
 			}
 		})
 	}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -37,7 +37,7 @@
 	}
 	step, over := 0, make(chan time.Time)
 	close(over)
-	drain(ln, front, conns, 3700, func(float64) <-chan time.Time {
+	drain(ln, front, conns, stopTimesFor(3000), func(float64) <-chan time.Time {
 		step++
 		fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		old, young := get(kept), get(fresh)
@@ -66,3 +66,17 @@
 func (ready) Gone(*core.Request)               {}
 func (ready) Written(*core.Request, core.Link) {}
 func (ready) Ready() bool                      { return true }
+
+// Whatever the longest deadline is, new connections are accepted for as long as they come, what is out when connections
+// begin to close has its whole time or 0.35 s, and the program has ended before the platform may kill it.
+func TestStopTimes(t *testing.T) {
+	for _, longest := range []float64{1, 20, 50, 100, 250, 299, 350, 399, 400, 700, 1200, 3000, 5000, 10_000, 1e12} {
+		s, kill := stopTimesFor(longest), min(longest, 3000)+700
+		if s.accept <= 400 || s.close < s.accept || s.answer-s.close < min(longest, 350) || s.leave <= s.answer || s.leave >= kill {
+			t.Errorf("longest %v, killed at %v: %+v", longest, kill, s)
+		}
+	}
+	if s := stopTimesFor(3000); s != (stopTimes{600, 3200, 3550, 3625}) {
+		t.Errorf("for 3 s: %+v", s)
+	}
+}
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,13 @@
 // What was taken before SIGTERM and has longer than the platform leaves the program is answered before its end: a
 // read is refused, and a write that may have run is failed.
 func TestWhatIsOutIsAnsweredBeforeTheEnd(t *testing.T) {
+	for _, deadline := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, time.Second, 5 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) { answeredBeforeTheEnd(t, deadline) })
+	}
+}
+
+func answeredBeforeTheEnd(t *testing.T, deadline time.Duration) {
+	kill := min(deadline, 3*time.Second) + 700*time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		n := &memnet.Net{}
 		node, err := n.Listen("127.0.0.2:1")
@@ -38,7 +46,10 @@
 		}()
 		cfg := &config.Config{Name: "gw", Listen: "127.0.0.1:1", Discovery: "127.0.0.1:9", Sockets: 64, ConnectMs: 250,
 			ConnIdleMs: 30_000, Settings: settings.Settings(1)}
-		cfg.Settings.Classes[1].Deadline = 5 * time.Second
+		for i := range cfg.Settings.Classes {
+			c := &cfg.Settings.Classes[i]
+			c.Deadline, c.Aim = deadline, min(c.Aim, deadline/2)
+		}
 		cfg.Known = core.List{Scope: policy.Stale, Nodes: []*core.Node{{Name: "a", Addr: "127.0.0.2:1"}}}
 		g, err := New(cfg, &config.Edge{}, clock.NewSystem(), Network{Dial: n.Dial, Listen: n.Listen})
 		if err != nil {
@@ -57,7 +68,7 @@
 			go func() {
 				req, _ := http.NewRequest(method, "http://127.0.0.1:1/"+class+"/00000000000000aa", nil)
 				for k, v := range map[string]string{"X-Correlation-Id": class, "X-Service-Class": class, "X-Plan": "business",
-					"X-Time-Left-Ms": "5000", "Idempotency-Key": "k", "X-IO": "volume=1,units=1,shard=0,hosts=1"} {
+					"X-Time-Left-Ms": strconv.FormatInt(deadline.Milliseconds(), 10), "Idempotency-Key": "k", "X-IO": "volume=1,units=1,shard=0,hosts=1"} {
 					req.Header.Set(k, v)
 				}
 				resp, err := client.Do(req)
@@ -70,19 +81,28 @@
 				ends <- end{what, time.Now()}
 			}()
 		}
-		time.Sleep(200 * time.Millisecond)
+		half, err := n.Dial(t.Context(), "tcp", "127.0.0.1:1") // a client that never sends the rest
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer half.Close()
+		go io.WriteString(half, "GET /bulk")
+		time.Sleep(deadline / 25)
 		if g.Metrics.Get("attempts_started") != 2 {
 			t.Fatalf("%d attempts are out, want 2", g.Metrics.Get("attempts_started"))
 		}
 		stopped := time.Now()
 		g.Stop()
 		ended := time.Now()
+		if took := ended.Sub(stopped); took >= kill {
+			t.Errorf("ended after %v, killed after %v", took, kill)
+		}
 		for range 2 {
 			e := <-ends
 			if e.what != "bulk-read 503" && e.what != "push 502" {
 				t.Errorf("an answer of %q", e.what)
 			}
-			if took := e.at.Sub(stopped); took > 3700*time.Millisecond || e.at.After(ended) {
+			if took := e.at.Sub(stopped); took >= kill || e.at.After(ended) {
 				t.Errorf("%q came after %v, the program ended after %v", e.what, took, ended.Sub(stopped))
 			}
 		}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -46,8 +46,8 @@
 	return nil
 }
 
-func (p *peers) stopping(float64) { p.g.loop.Post(p.fleet.Leave) }
-func (p *peers) end()             { p.fleet.End() }
+func (p *peers) stopping(stopTimes) { p.g.loop.Post(p.fleet.Leave) }
+func (p *peers) end()               { p.fleet.End() }
 
 // show answers with what this gateway knows of its fleet.
 func (p *peers) show(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,17 +25,36 @@
 	"gaugerelay/internal/metrics"
 )
 
+// The platform's own times, in milliseconds.
 const (
-	// After SIGTERM new connections are accepted so long: clients learn of the stop with a delay. Those they have
-	// they go on using; these are kept until lastMs before the platform may kill the program, which is no sooner
-	// than the longest deadline, at most killMs, and killMoreMs. endMs before that all is answered.
-	acceptMs   = 600
-	killMs     = 3000
-	killMoreMs = 700
-	lastMs     = 500
-	endMs      = 150
+	comeMs     = 400  // new connections come so long after SIGTERM: clients learn of the stop with a delay
+	killMs     = 3000 // the platform kills the program no sooner than the longest deadline, at most this,
+	killMoreMs = 700  // and this after SIGTERM
 )
 
+// stopTimes are the times of a stop, in milliseconds from SIGTERM, in this order. They follow from the longest deadline
+// alone: fixed ones would add up to more than there is where all deadlines are short.
+type stopTimes struct {
+	accept float64 // until then new connections are accepted
+	close  float64 // from then on each answer is the last of its connection; until then clients use those they have
+	answer float64 // by then all is answered
+	leave  float64 // by then the program has ended
+}
+
+func stopTimesFor(longestMs float64) stopTimes {
+	const (
+		acceptMs = 1.5 * comeMs
+		leaveMs  = 75 // before it may be killed, and as long again for the last answers to be taken
+		lastMs   = 350
+	)
+	kill := min(longestMs, killMs) + killMoreMs
+	t := stopTimes{leave: kill - leaveMs, answer: kill - 2*leaveMs}
+	// What is out then has its whole time left if that is short, and nearly always enough if it is long.
+	t.close = t.answer - min(longestMs, lastMs)
+	t.accept = min(acceptMs, t.close)
+	return t
+}
+
 // Network opens what the parts listen on and connect to.
 type Network struct {
 	Listen func(addr string) (net.Listener, error)
@@ -54,9 +73,9 @@
 	// ready is told once, when requests can be served.
 	ready()
 	// stopping is told to all parts at once when the program is to end; it does not wait.
-	stopping(graceMs float64)
-	// drain returns once all that clients asked for is answered, at the latest after graceMs.
-	drain(graceMs float64)
+	stopping(t stopTimes)
+	// drain returns once all that clients asked for is answered, at the latest when the program has to leave.
+	drain(t stopTimes)
 	// end lets go of the rest.
 	end()
 }
@@ -66,8 +85,8 @@
 
 func (base) start(context.Context) error { return nil }
 func (base) ready()                      {}
-func (base) stopping(float64)            {}
-func (base) drain(float64)               {}
+func (base) stopping(stopTimes)          {}
+func (base) drain(stopTimes)             {}
 func (base) end()                        {}
 
 // Gateway is one gateway.
@@ -169,14 +188,14 @@
 // Stop drains the gateway and ends it.
 func (g *Gateway) Stop() {
 	log.Printf("%s: stopping", g.cfg.Name)
-	graceMs := min(clock.Ms(g.longest), killMs) + killMoreMs
+	t := stopTimesFor(clock.Ms(g.longest))
 	for _, p := range g.parts {
-		p.stopping(graceMs)
+		p.stopping(t)
 	}
-	g.loop.Ending(g.Clock.NowMs() + graceMs - endMs)
+	g.loop.Ending(g.Clock.NowMs() + t.answer)
 	var all sync.WaitGroup
 	for _, p := range g.parts {
-		all.Go(func() { p.drain(graceMs) })
+		all.Go(func() { p.drain(t) })
 	}
 	all.Wait()
 	g.Kill()
@@ -225,3 +244,13 @@
 }
 
 func wait(ms float64) <-chan time.Time { return time.After(clock.Duration(ms)) }
+
+// within waits for f to return, but no longer than ms.
+func within(ms float64, f func()) {
+	over := make(chan struct{})
+	go func() { f(); close(over) }()
+	select {
+	case <-over:
+	case <-wait(ms):
+	}
+}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -54,9 +54,9 @@
 	return nil
 }
 
-func (p *platform) stopping(graceMs float64) { p.front.Drain(p.g.Clock.NowMs() + graceMs - endMs) }
+func (p *platform) stopping(t stopTimes) { p.front.Drain(p.g.Clock.NowMs() + t.answer) }
 
-func (p *platform) drain(graceMs float64) { drain(p.ln, p.front, p.conns, graceMs, wait) }
+func (p *platform) drain(t stopTimes) { drain(p.ln, p.front, p.conns, t, wait) }
 
 func (p *platform) end() {
 	p.ln.Close() // the server may not have got to it yet
@@ -65,14 +65,14 @@
 
 // drain ends an HTTP front inside the time that the platform gives. A client that is told nothing goes on using
 // the connections it has; closed too soon, they would leave it without a gateway until the next start.
-func drain(ln net.Listener, front *httpfront.Front, conns *httpfront.Conns, graceMs float64, after func(ms float64) <-chan time.Time) {
-	<-after(acceptMs)
+func drain(ln net.Listener, front *httpfront.Front, conns *httpfront.Conns, t stopTimes, after func(ms float64) <-chan time.Time) {
+	<-after(t.accept)
 	ln.Close()
-	<-after(graceMs - acceptMs - lastMs)
+	<-after(t.close - t.accept)
 	front.Close()
 	select {
 	case <-conns.Drain():
-	case <-after(lastMs - endMs/2):
+	case <-after(t.leave - t.close):
 	}
 }
 
@@ -112,10 +112,11 @@
 	return nil
 }
 
-func (p *files) drain(float64) {
-	<-wait(acceptMs)
+// drain waits no longer than there is time: a client may leave its answer unread.
+func (p *files) drain(t stopTimes) {
+	<-wait(t.accept)
 	p.ln.Close()
-	p.front.Shutdown()
+	within(t.leave-t.accept, p.front.Shutdown)
 }
 
 func (p *files) end() {
@@ -141,8 +142,8 @@
 	return nil
 }
 
-func (a *announcer) ready()           { a.speaker.SetReady(true) }
-func (a *announcer) stopping(float64) { a.speaker.SetReady(false) }
+func (a *announcer) ready()             { a.speaker.SetReady(true) }
+func (a *announcer) stopping(stopTimes) { a.speaker.SetReady(false) }
 
 func (a *announcer) end() {
 	a.cease()
