Read lists as values, and find a silent watch after one missing line

Seen by reading: a watch was read line by line, so an indented list ended it each time; half an object trickled in kept a silent one alive. A watch silent from its first second on counted as a failed call, which backs off. The sum of bounds with 4.5 s of silence and calls spread over 1 s left 0.5 s and the grace (0.25 s in some settings) for the answer.

Change: objects are read as values, each bounded, and only a whole one or an empty line is a sign of life. Silence is half a line's gap more than a line's gap, 3 s; the calls behind it are spread over what all calls take, at most 2 s. Watches that told of nodes end as such (Ended) and are asked for within half of AskWithin; failed calls back off to less than four times AskWithin.

--- a/api.go
+++ b/api.go
@@ -137,6 +137,7 @@
 	Stale                   // the complete list as last seen before the start
 	Broken                  // a Subscribe or Fetch failed or the subscription dropped; no entries
 	Silent                  // a subscription that had answered says nothing any more; no entries
+	Ended                   // a subscription that had told entries has ended; no entries
 )
 
 // Event is something that happened to a gateway.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -337,8 +337,8 @@
 	}
 }
 
-// Watches that fall silent are opened anew within a second, spread over it: what they miss counts as told 6 s behind their
-// last line, and 4.5 s of that are over. That is no failed call, so it backs nothing off; one that fails does.
+// Watches that fall silent are opened anew within two seconds, spread over them: what they miss counts as told 6 s behind
+// their last line, and 3 s of that are over. That is no failed call, so it backs nothing off; one that fails does.
 func TestSilentWatchesAreOpenedAnewSoon(t *testing.T) {
 	const gates = 300
 	var asked []time.Duration
@@ -372,6 +372,18 @@
 		}
 		asked = append(asked, at[0]-fell)
 	}
+	// A few gateways need no spread: their calls take no longer than that together.
+	set := testSettings()
+	set.Siblings, set.AskList = 5, true
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(time.Hour, []Event{NodeList{Scope: Whole, Nodes: []Node{{ID: 1}}}})
+	s.Step(time.Hour+time.Minute, []Event{NodeList{Scope: Silent}})
+	if wait := s.askAgain - s.now; wait > 5*listCall {
+		t.Errorf("one of five gateways asks %v behind a silence", wait)
+	}
 	early := 0
 	for _, d := range asked {
 		if d < silentCall/2 {
@@ -382,3 +394,49 @@
 		t.Errorf("%d of %d ask in the first half of the spread", early, gates)
 	}
 }
+
+// A gateway without a watch is held to its list for AskWithin from its last call, and four times as long if that call
+// failed. However often watches end that had told of nodes, the next call comes within AskWithin of the end, with time
+// left for it; and however many calls fail, within four times that of the last one.
+func TestCallsBehindWatchesThatEnd(t *testing.T) {
+	for _, siblings := range []int{1, 5, 300} {
+		for seed := range uint64(40) {
+			set := testSettings()
+			set.Siblings, set.AskList, set.AskWithin = siblings, true, 8*time.Second
+			s, err := New(set, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Hour
+			next := func(scope ListScope) (wait time.Duration) {
+				s.Step(now, []Event{NodeList{Scope: scope}})
+				from := now
+				for s.askAgain > now {
+					now = s.askAgain
+				}
+				called := false
+				for _, a := range s.Step(now, []Event{Wake{}}) {
+					if _, ok := a.(Subscribe); ok {
+						called = true
+					}
+				}
+				if !called {
+					t.Fatal("no call")
+				}
+				return now - from
+			}
+			for i := range 12 {
+				if wait := next(Broken); wait > 4*set.AskWithin-set.AskWithin/2 {
+					t.Fatalf("%d gateways: %v behind failed call %d", siblings, wait, i)
+				}
+			}
+			for i := range 12 {
+				s.Step(now, []Event{NodeList{Scope: Patch, Nodes: []Node{{ID: 1, State: Draining}}}})
+				now += 100 * ms
+				if wait := next(Ended); wait > set.AskWithin/2 {
+					t.Fatalf("%d gateways: %v behind end %d of a watch that told", siblings, wait, i)
+				}
+			}
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -394,7 +394,7 @@
 			}
 		}
 	}
-	if l.Scope != policy.Broken && l.Scope != policy.Silent && (l.Scope != policy.Stale || len(l.Nodes) > 0) {
+	if l.Scope < policy.Broken && (l.Scope != policy.Stale || len(l.Nodes) > 0) {
 		c.listed = true
 	}
 	c.events = append(c.events, ev)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,7 +7,6 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -29,11 +28,13 @@
 )
 
 const (
-	maxLine  = 1 << 20 // bytes of one object of the watch; the largest fleet's whole list takes a few KiB
-	answerMs = 3000    // a call that has brought no first object by then has failed
-	// A watch sends at least an empty line every 2 s: without one for so long two are missing, and it is dead. What it
-	// misses counts as told 6 s after its last line, by when another has to be open.
-	silentMs = 4500
+	maxValue = 1 << 20 // bytes of one object of the watch; the largest fleet's whole list takes some ten KiB
+	answerMs = 3000    // a call that has not been answered by then has failed
+	// A watch sends an empty line every lineMs at the least. One that is late by half of that is missing, and the watch
+	// is dead. What it misses counts as told 6 s after it fell silent, by when another has to be open and to have told:
+	// the 3 s left are for calls that are spread (at most 2 s) and for their answers.
+	lineMs   = 2000
+	silentMs = 1.5 * lineMs
 
 	// The watch on this machine's agent is opened again at once, then after a pause that doubles in these bounds
 	// until the agent says something. The longest is small beside the time that a gateway has to stop sending to a
@@ -80,9 +81,9 @@
 type Watcher struct {
 	Clock   clock.Clock
 	Metrics *metrics.Set
-	// Tell takes each change. A Broken list tells that a watch that was started has failed or ended, a Silent one that
-	// it was answered and then said nothing any more; when to ask
-	// again is not decided here: the module backs off with jitter.
+	// Tell takes each change. A Broken list tells that a watch that was started has failed, an Ended one that it has ended
+	// after it had told of nodes, a Silent one that it was answered and then said nothing any more; when to ask again is
+	// not decided here.
 	Tell func(core.List)
 
 	client *http.Client
@@ -178,8 +179,8 @@
 			w.followed(watching)
 			return
 		}
-		spoke := false
-		err := w.watch(watching, func() { spoke = true })
+		var seen progress
+		err := w.watch(watching, &seen)
 		w.mu.Lock()
 		w.open = false
 		known := w.moving || ctx.Err() != nil
@@ -188,8 +189,11 @@
 			w.Metrics.Add("watch_broken", 1)
 			log.Printf("discovery: watch ended: %v", err)
 			scope := policy.Broken
-			if spoke && errors.Is(err, errSilent) {
+			switch {
+			case seen.answered && errors.Is(err, errSilent):
 				scope = policy.Silent // the call had not failed
+			case seen.told:
+				scope = policy.Ended
 			}
 			w.Tell(core.List{Scope: scope})
 		}
@@ -203,12 +207,12 @@
 	pause, away := 0.0, false
 	for ctx.Err() == nil {
 		began := w.Clock.NowMs()
-		err := w.watch(ctx, func() {
+		err := w.watch(ctx, &progress{held: func() {
 			if away {
 				away = false
 				log.Printf("discovery: the agent is back")
 			}
-		})
+		}})
 		if ctx.Err() != nil {
 			break
 		}
@@ -235,10 +239,17 @@
 	w.mu.Unlock()
 }
 
-// watch reads one watch to its end. held is called at each line.
-func (w *Watcher) watch(ctx context.Context, held func()) error {
+// progress is how far a watch has come.
+type progress struct {
+	answered bool   // its answer has begun
+	told     bool   // it has told of nodes, or that there are none
+	held     func() // called at each object and line
+}
+
+// watch reads one watch to its end.
+func (w *Watcher) watch(ctx context.Context, seen *progress) error {
 	w.mu.Lock()
-	addr, after, follow := w.addr, w.version, w.follow
+	addr, after := w.addr, w.version
 	w.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -262,23 +273,33 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	if follow { // it is there; while discovery is down it has nothing to say
-		arm(silentMs)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxLine)
+	seen.answered = true
+	arm(silentMs)
+	values := newValues(resp.Body)
 	var parser fastjson.Parser
-	for lines.Scan() {
+	for {
+		text, err := values.next()
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				return cause
+			}
+			if errors.Is(err, errNoObject) {
+				w.Metrics.Add("discovery_bad_lines", 1)
+			}
+			return fmt.Errorf("ended: %w", err)
+		}
 		arm(silentMs)
-		held()
-		if len(lines.Bytes()) == 0 {
+		if seen.held != nil {
+			seen.held()
+		}
+		if text == nil {
 			continue
 		}
-		v, err := parser.ParseBytes(lines.Bytes())
+		v, err := parser.ParseBytes(text)
 		if err != nil || v.Type() != fastjson.TypeObject || v.GetBool("full") && !isArray(v.Get("servers")) {
 			// What it said is unknown: only a fresh answer can tell what was missed.
 			w.Metrics.Add("discovery_bad_lines", 1)
-			return errors.New("a line that is no JSON object")
+			return errors.New("an object that cannot be read")
 		}
 		l, bad := Decode(v)
 		unnumbered := !v.Exists("version") // on one watch news come in order all the same
@@ -306,12 +327,9 @@
 		if len(d.Take) < len(l.Nodes) {
 			w.Metrics.Add("discovery_outdated", int64(len(l.Nodes)-len(d.Take)))
 		}
+		seen.told = seen.told || d.Whole || len(d.Take) > 0
 		w.Tell(counts(l, d))
 	}
-	if err := context.Cause(ctx); err != nil {
-		return err
-	}
-	return errors.Join(errors.New("closed"), lines.Err())
 }
 
 // counts is what of a list counts.
--- a/scheduler.go
+++ b/scheduler.go
@@ -36,7 +36,7 @@
 	coldOut       = 16.0                  // requests out at a cold node, over all gateways
 	idleVolume    = time.Minute           // the books of a volume that asks for nothing are kept so long
 	listCall      = 6 * time.Second / 100 // a call of discovery may take it so long, and all gateways call
-	silentCall    = time.Second           // calls behind watches that have fallen silent are spread over this
+	silentCall    = 2 * time.Second       // calls behind watches that have fallen silent are spread over this
 	mostShards    = 1 << 12               // a list with a shard beyond, and beyond the settings', errs
 )
 
@@ -229,16 +229,16 @@
 func (s *Scheduler) list(l *NodeList) {
 	if l.Scope == Silent {
 		// No call has failed, and what such a watch misses counts as told soon: ask again, not all together.
-		s.askWait, s.askAgain = 0, s.now+time.Duration(s.rnd.Float64()*float64(silentCall))
+		s.askWait, s.askAgain = 0, s.now+time.Duration(s.rnd.Float64()*float64(min(silentCall, s.allCalls())))
 		return
 	}
-	if l.Scope == Broken {
-		// The list is out of reach: the old one holds. Ask again, ever less often, unless the watch had held for
-		// long.
-		if s.now-s.askedAt > s.set.AskWithin {
+	if l.Scope == Broken || l.Scope == Ended {
+		// The list is out of reach: the old one holds. Ask again, ever less often if calls fail; after one that
+		// did, a gateway may use its list for four times AskWithin.
+		if l.Scope == Ended || s.now-s.askedAt > s.set.AskWithin {
 			s.askWait = 0
 		}
-		s.askLater(min(2*s.askWait, max(s.set.AskWithin, 2*s.allCalls())))
+		s.askLater(min(2*s.askWait, max(s.set.AskWithin, min(2*s.allCalls(), s.set.AskWithin*7/2))))
 		return
 	}
 	if l.Scope != Stale {
