Let no repeat begin behind its window, whatever it waits for

Nodes drop repeats by the time at which they arrive: one that left late would run twice. Nothing between decision and first byte asked for the window again.

Change: Send tells by when its first byte has to go out (Before), the core hands it on as it does the end of a borrowed part, and the carrier asks as it asks for drains. The module reckons both by one function.

--- a/api.go
+++ b/api.go
@@ -262,6 +262,7 @@
 	ID      RequestID
 	Node    NodeID
 	Timeout time.Duration // 0: until the client gives up
+	Before  time.Duration // on the clock: its first byte goes out before, or never; 0: there is no such time
 }
 
 // Refuse ends a request; it tells the client that another try is harmless.
--- a/books.go
+++ b/books.go
@@ -73,6 +73,15 @@
 	held      bool // in its flow's queue
 }
 
+// repeatBefore is until when a repeat of what may have run may begin, on the clock: nodes drop repeats for a while from the
+// first attempt on, and one that has to wait for its connection may be later than the decision. 0: there is no such time.
+func (r *request) repeatBefore() time.Duration {
+	if !r.mayRun || r.class.Effect != ByKey {
+		return 0
+	}
+	return r.mayRunAt + r.class.DedupWindow
+}
+
 // volume is what this gateway knows of a volume over all nodes.
 type volume struct {
 	plan    *Plan
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -499,6 +499,9 @@
 	if c.fleet != nil {
 		begin = c.fleet.Until(policy.VolumeID(e.req.Volume))
 	}
+	if before := clock.Ms(a.Before); before != 0 && (begin == 0 || before < begin) {
+		begin = before
+	}
 	t := &attempt{node: n, sentMs: nowMs}
 	e.tries = append(e.tries, t)
 	e.out++
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -364,3 +364,17 @@
 		t.Errorf("%d nodes known, and all are gone", c.Known())
 	}
 }
+
+// An attempt begins before the module's time for it.
+func TestAttemptsHaveTheModulesTimeToBegin(t *testing.T) {
+	mod, car := &script{}, &carrier{}
+	c := core.New(mod, &quiet{})
+	c.Nodes(nodes(policy.Live))
+	c.Step(0)
+	c.Take(0, &core.Request{LeftMs: 1000, Carrier: car, Reply: func(core.Answer) {}})
+	mod.actions = []policy.Action{policy.Send{ID: 1, Node: 1}, policy.Send{ID: 1, Node: 1, Before: 700 * time.Millisecond}}
+	c.Step(1)
+	if len(car.started) != 2 || car.started[0].Over(1e9) || car.started[1].Over(699.9) || !car.started[1].Over(700) {
+		t.Errorf("%d started: %+v", len(car.started), car.started)
+	}
+}
--- a/module_test.go
+++ b/module_test.go
@@ -669,6 +669,42 @@
 	}
 }
 
+// A repeat of what may have run goes out with the time by which it has to begin: its nodes drop repeats for so long from
+// the first attempt on, whatever it has to wait for. What has not run, or may be repeated at will, has no such time.
+func TestRepeatsBeginInsideTheirWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect Effect
+		status Status
+		want   bool
+	}{
+		"may have run": {ByKey, Error, true},
+		"has not run":  {ByKey, ConnectFailed, false},
+		"at will":      {Repeatable, Error, false},
+	} {
+		g := newGate(t, func(s *Settings) {
+			s.Classes[1].Effect, s.Classes[1].Scope, s.Classes[1].DedupWindow = c.effect, ScopeCell, 5*time.Second
+		})
+		a := g.ask("bulk", "gold", 1, 2, 5)
+		first, got := g.now, g.step(a)
+		g.now += 100 * ms
+		got = append(got, g.step(Outcome{ID: a.ID, Node: 1, Status: c.status})...)
+		got = append(got, g.after(2*time.Second)...)
+		var before []time.Duration
+		for _, a := range got {
+			if s, ok := a.(Send); ok {
+				before = append(before, s.Before)
+			}
+		}
+		want := []time.Duration{0, 0}
+		if c.want {
+			want[1] = first + 5*time.Second
+		}
+		if !slices.Equal(before, want) {
+			t.Errorf("%s: to begin before %v, want %v", name, before, want)
+		}
+	}
+}
+
 // TestWindowUnderOneIsKeptInTime: one request is out for that part of the time, and reserved units do not wait.
 func TestWindowUnderOneIsKeptInTime(t *testing.T) {
 	g := newGate(t, func(s *Settings) { s.Siblings = 100 })
--- a/scheduler.go
+++ b/scheduler.go
@@ -622,7 +622,7 @@
 	if s.cold(n) {
 		s.coldRoom(n).take(s.now, r.Units)
 	}
-	s.do(Send{ID: r.ID, Node: n.ID})
+	s.do(Send{ID: r.ID, Node: n.ID, Before: r.repeatBefore()})
 }
 
 // ---- outcome ----
@@ -914,7 +914,7 @@
 // mayRepeat tells whether the class allows another attempt at this node.
 func (s *Scheduler) mayRepeat(r *request) bool {
 	harmless := !r.mayRun || r.class.Effect == Repeatable ||
-		r.class.Effect == ByKey && s.now-r.mayRunAt < r.class.DedupWindow
+		r.class.Effect == ByKey && s.now < r.repeatBefore()
 	return harmless && len(r.tries) < s.set.MaxAttempts && r.out == 0
 }
 
