Let a connection to a node rest 5 ms before it is used again

What comes while nothing is awaited was seen already.

Ruled out: telling the two apart, as answers name no request; another connection, which costs a handshake and a place at the node.

Change: the first write of an attempt waits until 5 ms behind the last answer's end, before it asks for drains, clients and windows. Test: a node that sends the second copy when it has got the next request, or when the connection rests; it gets "old" without the rest.

--- a/internal/carrier/httpcarrier/backend.go
+++ b/internal/carrier/httpcarrier/backend.go
@@ -39,6 +39,7 @@
 	ConnectMs, ConnIdleMs float64
 	MaxConns              int      // connections open at once, to all nodes
 	ReportFields          []string // of X-Backend-Load, in order
+	RestMs                float64  // how long a connection rests behind an answer before the next request goes out on it
 	// Dial opens connections; nil: the machine's network.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
--- a/internal/carrier/httpcarrier/backend_test.go
+++ b/internal/carrier/httpcarrier/backend_test.go
@@ -258,6 +258,65 @@
 	}
 }
 
+// armed is a clock that tells of timers shorter than an attempt's.
+type armed struct {
+	*clock.Manual
+	timer chan bool
+}
+
+func (a armed) AfterFunc(ms float64, f func()) func() {
+	stop := a.Manual.AfterFunc(ms, f)
+	if ms < 100 {
+		a.timer <- true
+	}
+	return stop
+}
+
+// A second answer that comes when the next attempt has got the connection already, and would be on it, is not taken for
+// that one's: the connection rests first.
+func TestSecondAnswerBehindTheNextAttempt(t *testing.T) {
+	var conns atomic.Int32
+	second := make(chan bool, 1) // the next attempt has come, or it rests
+	written := make(chan bool, 1)
+	addr := standin.Serve(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		if conns.Add(1) > 1 {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nits")
+			io.Copy(io.Discard, in)
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+		peeked := make(chan bool)
+		go func() {
+			defer close(peeked)
+			if _, err := in.Peek(1); err == nil {
+				second <- true
+			}
+		}()
+		<-second
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+		written <- true
+		<-peeked
+	})
+	b, s, _, now := newBackend()
+	b.clock, b.opt.RestMs = armed{now, second}, 5
+	defer b.Close()
+	a := core.Attempt{Request: request(false), Node: &core.Node{Addr: addr}, DeadlineMs: now.NowMs() + 1000}
+	b.Start(a)
+	if res := <-s.ends; res.Status != policy.OK || string(res.Body.([]byte)) != "old" {
+		t.Fatalf("the first attempt: %+v", res)
+	}
+	b.Start(a)
+	<-written
+	now.Advance(5)
+	if res := <-s.ends; res.Status != policy.OK || string(res.Body.([]byte)) != "its" {
+		t.Errorf("the second attempt: %s", res.Body)
+	}
+}
+
 // An answer that has begun and does not end fails the attempt long before the client's time is up.
 func TestAnswerThatNeverEnds(t *testing.T) {
 	for name, begin := range map[string]string{
@@ -313,14 +372,18 @@
 	}
 }
 
-// A request whose client leaves while it waits for its connection is not written to it, whether or not the module gives
-// the attempt up, and its node has not to answer for it; nor is an attempt that is given up in the moment in which its
-// connection comes up.
-func TestNothingIsWrittenForAClientThatHasLeft(t *testing.T) {
-	for name, up := range map[string]func(r *core.Request, giveUp func()){
-		"left":               func(r *core.Request, _ func()) { r.Leave() },
-		"left and given up":  func(r *core.Request, giveUp func()) { r.Leave(); giveUp() },
-		"given up by itself": func(_ *core.Request, giveUp func()) { giveUp() },
+// What has become of an attempt while it waited for its connection counts when that comes up, whether or not the module
+// gives it up: for a client that has left nothing is written, and the node has not to answer for it; nor when it is given
+// up in the very moment; nor when nodes may have forgotten what it repeats.
+func TestNothingIsWrittenTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		up   func(r *core.Request, giveUp func(), now *clock.Manual)
+		want policy.Status
+	}{
+		"left":               {func(r *core.Request, _ func(), _ *clock.Manual) { r.Leave() }, policy.Cancelled},
+		"left and given up":  {func(r *core.Request, giveUp func(), _ *clock.Manual) { r.Leave(); giveUp() }, policy.Cancelled},
+		"given up by itself": {func(_ *core.Request, giveUp func(), _ *clock.Manual) { giveUp() }, policy.Cancelled},
+		"a window closed":    {func(_ *core.Request, _ func(), now *clock.Manual) { now.Advance(500) }, policy.ConnectFailed},
 	} {
 		for range 20 {
 			read := make(chan string, 1)
@@ -329,16 +392,16 @@
 				n, _ := c.Read(b)
 				read <- string(b[:n])
 			})
-			b, s, _, _ := newBackend()
+			b, s, _, now := newBackend()
 			cancel := make(chan func(), 1)
-			a := core.Attempt{Request: request(true), Node: &core.Node{Addr: addr}, DeadlineMs: 1e12 + 1000}
+			a := core.Attempt{Request: request(true), Node: &core.Node{Addr: addr}, DeadlineMs: 1e12 + 1000, BeginMs: 1e12 + 500}
 			b.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, addr)
-				up(a.Request, <-cancel)
-				return c, err
+				nc, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, addr)
+				c.up(a.Request, <-cancel, now)
+				return nc, err
 			}
 			cancel <- b.Start(a)
-			if r := <-s.ends; r.Status != policy.Cancelled {
+			if r := <-s.ends; r.Status != c.want {
 				t.Errorf("%s: ended as %v", name, r.Status)
 			}
 			for len(read) == 0 { // it may not have got to the connections kept yet
--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -18,9 +18,9 @@
 
 const (
 	maxHead = 16 << 10 // bytes of an answer's head, those of the 1xx before it included
-	// wholeMs after its first byte an answer must be whole. Nodes send theirs in one go; one that trickles or says
+	// mostWholeMs after its first byte an answer must be whole. Nodes send theirs in one go; one that trickles or says
 	// to be longer than it is would else hold its request until the client's time is up.
-	wholeMs = 250
+	mostWholeMs = 250
 )
 
 var (
@@ -154,6 +154,7 @@
 
 	mu      sync.Mutex
 	used    bool    // it has carried a request
+	wholeMs float64 // when its last answer was whole
 	answer  *answer // being awaited; nil between requests
 	spoilt  bool    // nothing is sent or read on it any more
 	unwatch func()
@@ -168,6 +169,7 @@
 // where something has come that no request asked for.
 func (c *conn) Write(p []byte) (int, error) {
 	t := c.try.Load()
+	c.rest()
 	if t != nil && !t.ends && len(t.head) == 0 && t.over() {
 		return 0, errOver
 	}
@@ -198,6 +200,22 @@
 	return n, err
 }
 
+// rest waits until a second copy of the last answer would have come: a node may send one some milliseconds late, and
+// behind the next request it could not be told from that one's answer.
+func (c *conn) rest() {
+	c.mu.Lock()
+	left := 0.0
+	if c.used && c.answer == nil && !c.spoilt {
+		left = c.wholeMs + c.back.opt.RestMs - c.back.clock.NowMs()
+	}
+	c.mu.Unlock()
+	if left > 0 {
+		over := make(chan struct{})
+		c.back.clock.AfterFunc(left, func() { close(over) })
+		<-over
+	}
+}
+
 // unbegun tells whether a kept connection has failed before a byte of the attempt was handed to it, and sees to it
 // that none is. http.Transport drops a connection whose end it reads before it has written a request that waits.
 func (t *try) unbegun() bool {
@@ -296,7 +314,7 @@
 		c.spoilt = true
 		return 0, bad
 	case whole:
-		if c.answer = nil; c.unwatch != nil {
+		if c.answer, c.wholeMs = nil, c.back.clock.NowMs(); c.unwatch != nil {
 			c.unwatch()
 			c.unwatch = nil
 		}
@@ -306,7 +324,7 @@
 		}
 	case c.unwatch == nil:
 		waited := c.answer
-		c.unwatch = c.back.clock.AfterFunc(wholeMs, func() { c.giveUp(waited) })
+		c.unwatch = c.back.clock.AfterFunc(mostWholeMs, func() { c.giveUp(waited) })
 	}
 	return mine, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,10 @@
 	killMoreMs = 700  // and this after SIGTERM
 )
 
+// restMs is how long a connection to a node rests behind an answer: second answers come some milliseconds late, by the
+// platform's word. It is a request's wait in the worst case, beside aims of a hundred milliseconds and more.
+const restMs = 5
+
 // stopTimes are the times of a stop, in milliseconds from SIGTERM, in this order. They follow from the longest deadline
 // alone: fixed ones would add up to more than there is where all deadlines are short.
 type stopTimes struct {
@@ -127,7 +131,7 @@
 	}
 	g.loop = loop.New(scheduler, c, g.Metrics)
 	g.back = httpcarrier.New(httpcarrier.Options{ConnectMs: cfg.ConnectMs, ConnIdleMs: cfg.ConnIdleMs,
-		MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields, Dial: network.Dial}, c, g.Metrics, g.loop)
+		RestMs: restMs, MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields, Dial: network.Dial}, c, g.Metrics, g.loop)
 	g.watcher = discovery.New(cfg.Discovery, cfg.Known, c, g.Metrics, g.loop.Nodes, network.Dial)
 	front := newPlatform(g)
 	if others != nil { // before the fronts: parts are known sooner, and are given back later
