Send nothing on for a client that has left where no read has seen it

Seen by reading: that a client has left is known once its end has been read. A request that waited, unread, for its connection to be accepted or read is handed in first and called off later; its node may have it by then. Behind more than 1 MiB sent on while a request is open the connection is not read any more, and the end never seen.

Change: the system is asked itself (POLLRDHUP, which tells of an end behind unread bytes as well), once before a request is handed in and once before the first byte of each attempt. Closing behind the last answer has moved to a package of its own, for the other fronts. Requests of devices are left out: their exchanges go on without them.

Ruled out: an end that the system has not got, since the client's bytes before it fill all room; nobody can see that one.

--- a/internal/carrier/httpcarrier/backend_test.go
+++ b/internal/carrier/httpcarrier/backend_test.go
@@ -376,6 +376,7 @@
 // gives it up: for a client that has left nothing is written, and the node has not to answer for it; nor when it is given
 // up in the very moment; nor when nodes may have forgotten what it repeats.
 func TestNothingIsWrittenTooLate(t *testing.T) {
+	var away atomic.Bool
 	for name, c := range map[string]struct {
 		up   func(r *core.Request, giveUp func(), now *clock.Manual)
 		want policy.Status
@@ -383,6 +384,7 @@
 		"left":               {func(r *core.Request, _ func(), _ *clock.Manual) { r.Leave() }, policy.Cancelled},
 		"left and given up":  {func(r *core.Request, giveUp func(), _ *clock.Manual) { r.Leave(); giveUp() }, policy.Cancelled},
 		"given up by itself": {func(_ *core.Request, giveUp func(), _ *clock.Manual) { giveUp() }, policy.Cancelled},
+		"away, unseen":       {func(r *core.Request, _ func(), _ *clock.Manual) { away.Store(true) }, policy.Cancelled},
 		"a window closed":    {func(_ *core.Request, _ func(), now *clock.Manual) { now.Advance(500) }, policy.ConnectFailed},
 	} {
 		for range 20 {
@@ -394,7 +396,9 @@
 			})
 			b, s, _, now := newBackend()
 			cancel := make(chan func(), 1)
+			away.Store(false)
 			a := core.Attempt{Request: request(true), Node: &core.Node{Addr: addr}, DeadlineMs: 1e12 + 1000, BeginMs: 1e12 + 500}
+			a.Request.Away = away.Load
 			b.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				nc, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, addr)
 				c.up(a.Request, <-cancel, now)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,8 @@
 	Carrier Carrier      // carries this request's attempts to nodes
 	Load    any          // what the carrier sends; opaque here
 	Reply   func(Answer) // called exactly once unless Gone came first; must not block
+	// Away tells at any time, to anyone, whether the client has gone, though nobody may have seen it yet. nil: it cannot be told.
+	Away func() bool
 
 	id   policy.RequestID
 	left atomic.Bool
@@ -42,8 +44,8 @@
 // attempt that has to wait for its connection may be about to begin.
 func (r *Request) Leave() { r.left.Store(true) }
 
-// Left tells whether Leave was called.
-func (r *Request) Left() bool { return r.left.Load() }
+// Left tells whether nobody waits any more.
+func (r *Request) Left() bool { return r.left.Load() || r.Away != nil && r.Away() }
 
 // Device tells whose copy of which exchange a request is. The desk decides what becomes of it.
 type Device struct {
@@ -279,7 +281,7 @@
 
 // Take hands a client's request in.
 func (c *Core) Take(nowMs float64, r *Request) {
-	if r.Left() {
+	if r.left.Load() { // else Gone is still to come, and is counted then
 		return
 	}
 	if r.Device != nil && c.desk != nil {
--- a/internal/front/httpfront/conns.go
+++ b/internal/front/httpfront/conns.go
@@ -14,6 +14,7 @@
 
 	"gaugerelay/internal/carrier/httpcarrier"
 	"gaugerelay/internal/clock"
+	"gaugerelay/internal/front/hangup"
 	"gaugerelay/internal/metrics"
 )
 
@@ -23,9 +24,6 @@
 	lingerMs = 2000
 	// speakMs is what a new connection has before it counts as a silent one, which goes before any that is idle.
 	speakMs = 500
-	// closeMs is how long a connection whose sending has ended is read on, so that its client can take the last answer
-	// and end it. It is as long as an answer may be late and still be one, by the platform's word.
-	closeMs = 500
 	// aheadMost is what is kept of what a client sends while its request is open: one more request, as large as it may
 	// be. What comes beyond is dropped, and the connection ends behind the answer; floodMost of that is read.
 	aheadMost = 16<<10 + httpcarrier.MaxBody
@@ -193,7 +191,7 @@
 	}
 }
 
-// Close ends the sending, reads on until the client has ended its own, for closeMs at most, and closes the connection.
+// Close ends the sending, reads on until the client has ended its own, for hangup.CloseMs at most, and closes the connection.
 // Closed over bytes that have not been read it would be reset, and with it the last answer where the client has not got
 // it yet: bytes may come in that very moment, and behind what is malformed there often are some.
 func (k *client) Close() error {
@@ -220,8 +218,8 @@
 		return
 	}
 	k.ending = c.closing.PushBack(k)
-	k.unguard = c.Clock.AfterFunc(closeMs, k.finish)
-	if half, ok := k.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+	k.unguard = c.Clock.AfterFunc(hangup.CloseMs, k.finish)
+	if !hangup.EndSending(k.Conn) {
 		k.close()
 	}
 	if c.quiet == nil && c.closing.Len() > max(1, c.Most/16) {
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -22,6 +22,7 @@
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/decide/leaving"
 	"gaugerelay/internal/front/form"
+	"gaugerelay/internal/front/hangup"
 	"gaugerelay/internal/metrics"
 )
 
@@ -149,6 +150,12 @@
 	if !f.Devices { // what a device's link takes the desk knows
 		req.LeftMs -= marginMs
 	}
+	if k := clientOf(r.Context()); k != nil && !f.Devices { // what devices ask for goes on without them
+		if req.Away = func() bool { return hangup.Seen(k.Conn) }; req.Away() {
+			f.Metrics.Add("requests_abandoned", 1) // it waited for longer, unread, than its client did
+			panic(http.ErrAbortHandler)
+		}
+	}
 	if endMs != 0 { // the program ends then, and what it leaves open is lost
 		req.LeftMs = min(req.LeftMs, endMs-f.Clock.NowMs())
 	}
--- a/internal/front/httpfront/races_test.go
+++ b/internal/front/httpfront/races_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -138,6 +139,48 @@
 	}
 }
 
+// A client that leaves before its request has been read has left as well: it is not handed in at all.
+func TestAClientThatLeavesUnread(t *testing.T) {
+	var g *gated
+	closed := make(chan bool, 4)
+	s := serving(t, func(s *server, ln net.Listener) net.Listener {
+		s.http.ConnState = func(nc net.Conn, at http.ConnState) {
+			if s.conns.State(nc, at); at == http.StateClosed {
+				closed <- true
+			}
+		}
+		g = &gated{Listener: ln}
+		return g
+	})
+	g.mu.Lock()
+	c := s.dial(t)
+	io.WriteString(c, get(1))
+	c.Close()
+	g.mu.Unlock()
+	soon(t, "the connection's end", closed)
+	if len(s.taken) != 0 {
+		t.Error("a request was taken whose client had left")
+	}
+}
+
+// A client that has sent more than is read while its request is open, and leaves behind that, is away all the same.
+func TestAClientThatLeavesBehindAFlood(t *testing.T) {
+	s := serving(t, nil)
+	c := s.dial(t)
+	io.WriteString(c, get(1))
+	r := soon(t, "the request", s.taken)
+	if r.Left() {
+		t.Fatal("it is said to be away while it is there")
+	}
+	io.WriteString(c, strings.Repeat("x", floodMost+aheadMost+8<<10)) // the rest must fit into the system, or the end waits for room
+	c.Close()
+	for end := time.Now().Add(20 * time.Second); !r.Left(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("it counts as there")
+		}
+	}
+}
+
 // Requests sent at once by a client that stays are answered one after the other. Those beyond what may be kept are not,
 // and the connection ends behind the answer that was under way.
 func TestRequestsSentAtOnce(t *testing.T) {
