Let nothing follow a request on a connection that was answered before it was whole

Seen by reading: a node may answer a long request before it has all of it. conn.Write took the rest of it for the next request and began to await an answer that does not come. The connection then went back to the pool with no look at what had come on it, no rest, and a second answer, to all of the request, was taken for the next one's: a lost request.

Change: the rest of a request that has begun begins nothing, and an answer that comes before it is whole spoils the connection for others. Test on a real connection, on the carrier's own one so that the order is forced; without the mend the next request goes out behind ("halfrestPUT /...").

--- a/internal/carrier/httpcarrier/backend_test.go
+++ b/internal/carrier/httpcarrier/backend_test.go
@@ -317,6 +317,47 @@
 	}
 }
 
+// Behind a long request that is answered before it is whole nothing more goes out on its connection: a second answer, to
+// all of it, would be taken for the next one's.
+func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
+	came := make(chan string, 1)
+	addr := standin.Serve(t, func(nc net.Conn) {
+		in := bufio.NewReader(nc)
+		http.ReadRequest(in)
+		io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 4\r\n\r\nfull")
+		b, _ := io.ReadAll(in)
+		came <- string(b)
+	})
+	b, _, _, _ := newBackend()
+	nc, err := b.dial(t.Context(), "tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := nc.(*conn)
+	begin := func(body int) *try {
+		y := &try{Attempt: core.Attempt{Request: request(true), Node: &core.Node{}}, ctx: t.Context(), body: body, conn: c}
+		c.try.Store(y)
+		return y
+	}
+	head := "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n"
+	first := begin(8)
+	io.WriteString(c, head+"half")
+	if _, err := io.ReadFull(c, make([]byte, 77)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "rest"); err != nil || !first.whole.Load() {
+		t.Errorf("the rest of a request that has been answered: %v", err)
+	}
+	second := begin(8)
+	if _, err := io.WriteString(c, head); err == nil || !second.stale.Load() {
+		t.Errorf("the next request: %v", err)
+	}
+	c.Close()
+	if got := <-came; got != "halfrest" {
+		t.Errorf("the node got %q", got)
+	}
+}
+
 // An answer that has begun and does not end fails the attempt long before the client's time is up.
 func TestAnswerThatNeverEnds(t *testing.T) {
 	for name, begin := range map[string]string{
--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -174,7 +174,8 @@
 		return 0, errOver
 	}
 	c.mu.Lock()
-	if c.answer == nil {
+	// A node may answer before it has all of the request. The rest of that begins nothing.
+	if rest := t != nil && t.began && !t.whole.Load(); c.answer == nil && !rest {
 		if c.spoilt || c.used && c.pending() {
 			c.spoilt = true
 			c.mu.Unlock()
@@ -322,6 +323,8 @@
 			c.back.metrics.Add("node_surplus", 1)
 			c.spoilt = true
 		}
+		// Behind a request that was answered before it was whole nothing follows: a second answer, to all of it, may.
+		c.spoilt = c.spoilt || t != nil && t.began && !t.whole.Load()
 	case c.unwatch == nil:
 		waited := c.answer
 		c.unwatch = c.back.clock.AfterFunc(mostWholeMs, func() { c.giveUp(waited) })
