Ask before the first byte in the file carrier too, and close file and device connections gently

Seen by reading, beside the HTTP side: the file carrier asked whether an attempt may begin before its session was opened, and again before a READ or WRITE, but an OPEN or STAT went out after a slow dial to a node that had been told to drain, or for a client that had left. The file front closed connections over unread bytes (a stop, a packet over the limit), and the device front behind an Abort or the last answer: both reset, and may lose that. Behind many commands sent at once the file front reads no more and never saw its client leave; CloseAll then waited for their answers.

Shed devices (the longest idle) and what the end of the program finds are still cut off.

--- a/internal/carrier/filecarrier/backend.go
+++ b/internal/carrier/filecarrier/backend.go
@@ -128,6 +128,16 @@
 		b.finish(a, core.Result{Status: b.ended(ctx, false)})
 		return
 	}
+	// Told while the session was opened: nothing new goes to the node, nor anything for a client that has left.
+	if a.Over(b.clock.NowMs()) {
+		b.rest(s)
+		status := policy.Full
+		if a.Request.Left() {
+			status = policy.Cancelled
+		}
+		b.finish(a, core.Result{Status: status})
+		return
+	}
 	// Closing the connection is how an attempt is given up.
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	reply, handle, ran, err := s.run(cmd, a, max(1, math.Floor(a.DeadlineMs-b.clock.NowMs())))
@@ -151,9 +161,14 @@
 		b.drop(s)
 		return
 	}
+	b.rest(s)
+}
+
+// rest gives a session back.
+func (b *Backend) rest(s *session) {
 	s.idleMs = b.clock.NowMs()
 	b.mu.Lock()
-	b.idle[addr] = append(b.idle[addr], s)
+	b.idle[s.addr] = append(b.idle[s.addr], s)
 	b.mu.Unlock()
 }
 
--- a/internal/carrier/filecarrier/backend_test.go
+++ b/internal/carrier/filecarrier/backend_test.go
@@ -203,3 +203,52 @@
 		t.Error("a second end")
 	}
 }
+
+// What has become of an attempt while its session was opened counts before its first packet, whatever the command: none
+// goes to a node that drains by then, nor for a client that has left. The session is kept for others.
+func TestNothingIsWrittenTooLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		up   func(left, over *atomic.Bool)
+		want policy.Status
+	}{
+		"away":        {func(left, _ *atomic.Bool) { left.Store(true) }, policy.Cancelled},
+		"window over": {func(_, over *atomic.Bool) { over.Store(true) }, policy.Full},
+	} {
+		for _, op := range []Op{Open, Read, Write, Stat} {
+			var left, over atomic.Bool
+			read := make(chan int, 1)
+			addr := standin.Serve(t, func(nc net.Conn) {
+				readPacket(nc) // INIT
+				c.up(&left, &over)
+				nc.Write(newPacket(typeVersion, version).done())
+				n, _ := nc.Read(make([]byte, 1))
+				read <- n
+			})
+			now, ends := clock.NewManual(1e12), make(chan core.Result, 2)
+			b := New(Options{ConnectMs: 5000, ConnIdleMs: 30000, MaxSessions: 1, Address: func(*core.Node) (string, bool) { return addr, true }},
+				passing{now, &over}, metrics.New(), func(_ core.Attempt, r core.Result) { ends <- r })
+			b.Start(core.Attempt{Request: &core.Request{Load: &Command{Op: op, Path: "/a", Key: "k"}, Away: left.Load}, Node: &core.Node{},
+				DeadlineMs: 2e12, BeginMs: 1.5e12})
+			if r := <-ends; r.Status != c.want {
+				t.Errorf("%s, %d: ended as %v", name, op, r.Status)
+			}
+			b.Close()
+			if n := <-read; n != 0 {
+				t.Errorf("%s, %d: the node got something", name, op)
+			}
+		}
+	}
+}
+
+// passing is a clock that is past the begin of attempts once that is told.
+type passing struct {
+	*clock.Manual
+	over *atomic.Bool
+}
+
+func (p passing) NowMs() float64 {
+	if p.over.Load() {
+		return 1.5e12
+	}
+	return p.Manual.NowMs()
+}
--- a/internal/front/devicefront/conn.go
+++ b/internal/front/devicefront/conn.go
@@ -21,6 +21,7 @@
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/front/form"
+	"gaugerelay/internal/front/hangup"
 )
 
 const (
@@ -125,7 +126,7 @@
 	return c.heard, len(c.open) == 0 && len(c.queue) == 0 && !c.closed
 }
 
-// close ends the connection. What is open goes on without it.
+// close ends the connection's sending, and reading is left to end it. What is open goes on without it.
 func (c *conn) close() {
 	c.mu.Lock()
 	if c.closed {
@@ -142,21 +143,30 @@
 	}
 	c.queue = nil
 	c.room.Broadcast()
+	if !hangup.EndSending(c.nc) {
+		c.nc.Close()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(hangup.CloseMs * time.Millisecond))
 	c.mu.Unlock()
-	c.nc.Close()
 	for _, p := range open {
 		p.stop()
 		c.f.Loop.Gone(p.req)
 	}
 }
 
+// cut ends the connection at once: to make room, where what is idle has had its answers long ago, and at the end.
+func (c *conn) cut() {
+	c.close()
+	c.nc.Close()
+}
+
 // ---- reading ----
 
 // serve reads until the connection ends.
 func (c *conn) serve() {
+	defer hangup.Close(c.nc) // closed over what has not been read it would be reset, and the last message lost
 	defer c.close()
-	for {
-		c.nc.SetReadDeadline(c.wakeAt())
+	for c.await() {
 		n, err := c.nc.Read(c.buf[c.n:])
 		now := time.Now()
 		if n > 0 {
@@ -182,10 +192,18 @@
 	}
 }
 
-// wakeAt is when a silence must be looked at.
-func (c *conn) wakeAt() time.Time {
+// await sets the time until which the next bytes may come. False: the connection has been closed.
+func (c *conn) await() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.closed {
+		c.nc.SetReadDeadline(c.wakeAt())
+	}
+	return !c.closed
+}
+
+// wakeAt is when a silence must be looked at. c.mu is held.
+func (c *conn) wakeAt() time.Time {
 	switch {
 	case !c.greeted:
 		return c.began.Add(c.f.FirstTime) // from the connecting on, however it dribbles
@@ -202,15 +220,15 @@
 // quiet handles a silence: it asks whether the device is there, or tells, by a counter's name, why the connection
 // counts as dead. A device that says nothing while it waits is well; one that is cut off in the middle is not.
 func (c *conn) quiet(now time.Time) (why string) {
-	if now.Before(c.wakeAt()) {
+	c.mu.Lock()
+	early, asked := now.Before(c.wakeAt()), !c.pingAt.IsZero()
+	c.mu.Unlock()
+	if early {
 		return "" // something has come in the meantime
 	}
 	if !c.greeted {
 		return "device_connections_silent"
 	}
-	c.mu.Lock()
-	asked := !c.pingAt.IsZero()
-	c.mu.Unlock()
 	if asked || c.n > 0 {
 		return "device_connections_dead"
 	}
--- a/internal/front/devicefront/front.go
+++ b/internal/front/devicefront/front.go
@@ -124,7 +124,7 @@
 	}
 	f.Metrics.Add("device_connections_shed", 1)
 	delete(f.conns, oldest)
-	go oldest.close() // it calls nobody that waits for f.mu, but closing may take a moment
+	go oldest.cut() // it calls nobody that waits for f.mu, but closing may take a moment
 	return true
 }
 
@@ -169,6 +169,6 @@
 	}
 	f.mu.Unlock()
 	for _, c := range all {
-		c.close()
+		c.cut()
 	}
 }
--- a/internal/front/devicefront/front_test.go
+++ b/internal/front/devicefront/front_test.go
@@ -22,6 +22,7 @@
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/standin"
 	"gaugerelay/internal/standin/platform"
 )
 
@@ -653,3 +654,20 @@
 		}
 	})
 }
+
+// Behind a message that ends the connection there may be more: the device gets the last one, and no reset.
+func TestLastMessageOutlivesBytesNotRead(t *testing.T) {
+	ln := standin.Listen(t)
+	f := testFront(&fakeLoop{})
+	go f.Serve(ln)
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write(append([]byte{0x00, byte(codes.GET)}, make([]byte, 64<<10)...)) // no CSM, and more than is read at once
+	got, err := io.ReadAll(c)
+	if err != nil || !bytes.Contains(got, []byte("the first message must be a CSM")) {
+		t.Errorf("%q, then %v", got, err)
+	}
+}
--- a/internal/front/filefront/conn.go
+++ b/internal/front/filefront/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gaugerelay/internal/carrier/filecarrier"
+	"gaugerelay/internal/front/hangup"
 )
 
 // frames follows the packets in a stream of bytes.
@@ -116,11 +117,23 @@
 	return n, err
 }
 
+// Close is called where the library will read no more: the sending ends, and serve closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	c.lost()
 	c.mu.Unlock()
-	return c.Conn.Close()
+	if !hangup.EndSending(c.Conn) {
+		return c.Conn.Close()
+	}
+	return c.SetReadDeadline(time.Now())
+}
+
+// cut closes the connection as it is. Its end may not be read: nobody reads while many commands wait.
+func (c *conn) cut() {
+	c.mu.Lock()
+	c.lost()
+	c.mu.Unlock()
+	c.Conn.Close()
 }
 
 // lost notes that no answer reaches the client any more. c.mu is held.
--- a/internal/front/filefront/front.go
+++ b/internal/front/filefront/front.go
@@ -31,13 +31,13 @@
 	"time"
 
 	"github.com/pkg/sftp"
-	"golang.org/x/net/netutil"
 
 	policy "gaugerelay"
 
 	"gaugerelay/internal/carrier/filecarrier"
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
+	"gaugerelay/internal/front/hangup"
 	"gaugerelay/internal/metrics"
 )
 
@@ -94,14 +94,19 @@
 
 // Serve takes connections until the listener closes.
 func (f *Front) Serve(ln net.Listener) error {
-	ln = netutil.LimitListener(ln, f.MaxConns)
+	// Not netutil.LimitListener: behind it a connection's sending cannot be ended, nor its client's end be seen.
+	room := make(chan struct{}, f.MaxConns)
 	for {
+		room <- struct{}{}
 		c, err := ln.Accept()
 		if err != nil {
 			return err
 		}
 		f.wg.Add(1)
-		go f.serve(c)
+		go func() {
+			defer func() { <-room }()
+			f.serve(c)
+		}()
 	}
 }
 
@@ -122,7 +127,7 @@
 	f.mu.Lock()
 	f.ending = true
 	for c := range f.conns {
-		c.Conn.Close()
+		c.cut()
 	}
 	f.mu.Unlock()
 	f.wg.Wait()
@@ -143,14 +148,14 @@
 	}
 	f.mu.Unlock()
 	defer func() {
-		nc.Close()
+		hangup.Close(nc) // more may have been sent than is answered
 		f.mu.Lock()
 		delete(f.conns, c)
 		f.mu.Unlock()
 	}()
 	f.Metrics.Add("file_connections", 1)
 	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
-	h := &handler{f, ctx, host}
+	h := &handler{f, ctx, host, func() bool { return hangup.Seen(nc) }}
 	err := sftp.NewRequestServer(c, sftp.Handlers{FileGet: h, FilePut: h, FileCmd: h, FileList: h},
 		sftp.WithRSMaxTxPacket(filecarrier.MaxData)).Serve()
 	c.drain() // the library's writer may still have answers in hand
@@ -169,6 +174,7 @@
 	*Front
 	ctx  context.Context // ends when the client has gone
 	host string          // the client, as far as it can be told
+	away func() bool     // whether it has gone, though the end may wait behind commands that have not been read
 }
 
 // errNotServed is the answer to commands that the depot has no use for.
@@ -229,6 +235,8 @@
 	}
 	if cmd.Op == filecarrier.Write && h.KeepMs > 0 {
 		h.exchange(req, cmd, again)
+	} else {
+		req.Away = h.away
 	}
 	answers := make(chan core.Answer, 1)
 	req.Reply = func(a core.Answer) { answers <- a }
--- a/internal/front/filefront/front_test.go
+++ b/internal/front/filefront/front_test.go
@@ -454,6 +454,68 @@
 	<-ended
 }
 
+// What comes while stopping is not answered, and takes the last answer with it by no reset.
+func TestLastAnswerOutlivesBytesNotRead(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	init := []byte{0, 0, 0, 5, 1, 0, 0, 0, 3}
+	stat := append([]byte{0, 0, 0, 18, 17, 0, 0, 0, 9, 0, 0, 0, 9}, "/layers/a"...)
+	reached, release := make(chan struct{}), make(chan struct{})
+	r.files.Put("/layers/a", []byte("data"))
+	r.files.Answer = func(fileserver.Command) error {
+		close(reached)
+		<-release
+		return nil
+	}
+	c.Write(append(init, stat...))
+	<-reached
+	r.ln.Close()
+	ended := make(chan struct{})
+	go func() { r.front.Shutdown(); close(ended) }()
+	for stopping := false; !stopping; { // it has ended reading; what comes now stays unread
+		runtime.Gosched()
+		stopping = filefront.Ending(r.front)
+	}
+	c.Write(stat)
+	close(release)
+	got, err := io.ReadAll(c)
+	if n := bytes.Count(got, []byte{105, 0, 0, 0, 9}); n != 1 || err != nil { // ATTRS of request 9
+		t.Errorf("%d answers, then %v", n, err)
+	}
+	c.Close()
+	<-ended
+}
+
+// A client that sends more commands than are read at once and leaves behind them is away all the same: what of them waits
+// for its node's connection does not go out.
+func TestAClientThatLeavesBehindManyCommands(t *testing.T) {
+	r := newRig(t)
+	got := make(chan *core.Request, 64)
+	r.front.Loop = taking{got}
+	c := r.dial()
+	c.Write([]byte{0, 0, 0, 5, 1, 0, 0, 0, 3})
+	stat := append([]byte{0, 0, 0, 18, 17, 0, 0, 0, 9, 0, 0, 0, 9}, "/layers/a"...)
+	for range 200 {
+		c.Write(stat)
+	}
+	req := <-got
+	if req.Left() {
+		t.Fatal("it is said to be away while it is there")
+	}
+	c.Close()
+	for !req.Left() { // the system tells of its end at once, on loopback
+		runtime.Gosched()
+	}
+	r.front.CloseAll()
+}
+
+// taking is a loop that answers nothing.
+type taking struct{ got chan *core.Request }
+
+func (l taking) Offer(r *core.Request) bool     { l.got <- r; return true }
+func (taking) Gone(*core.Request)               {}
+func (taking) Written(*core.Request, core.Link) {}
+
 // The library's client sends a second READ after a short one, which is why filecarrier has its own codec.
 func TestLibraryClientSendsASecondRead(t *testing.T) {
 	files := fileserver.New(t)
--- a/internal/front/filefront/repeat_test.go
+++ b/internal/front/filefront/repeat_test.go
@@ -67,7 +67,7 @@
 					host = "b"
 				}
 				ctxs[n] = newCtl()
-				handles[n] = &file{h: &handler{f, ctxs[n].ctx, host}, path: "/f", flags: filecarrier.FlagWrite, openedMs: now.NowMs(), last: map[int64]written{}}
+				handles[n] = &file{h: &handler{f, ctxs[n].ctx, host, nil}, path: "/f", flags: filecarrier.FlagWrite, openedMs: now.NowMs(), last: map[int64]written{}}
 			}
 			return handles[n]
 		}
