Bound what all clients together send ahead, and test answers without length and odd signals

Need: up to 80 KiB were kept of what each client sends while its request is open, for each connection: 40 MB of floods on a platform of 1,024 descriptors. Now they share a sixteenth of the memory limit; beyond it a connection ends behind its answer as it did beyond its own bound.

Ruled out by tests that pass as it is: an answer without a length that is reset is a reset, one that ends is whole (acts of FuzzAttempts); SIGHUP and two SIGTERMs before a gateway is ready, with deadlines of 50 ms and a discovery that is silent.

--- a/cmd/gaugerelay/main_test.go
+++ b/cmd/gaugerelay/main_test.go
@@ -253,6 +253,28 @@
 	}
 }
 
+// Signals at bad moments: a gateway that is not ready yet, and never will be, ends well on the first SIGTERM, and neither
+// a second one nor a reload that comes with it changes that.
+func TestSignalsBeforeReady(t *testing.T) {
+	silent := standin.Listen(t) // a discovery that takes calls and says nothing
+	text := strings.Replace(fmt.Sprintf(settings, "127.0.0.1:0", "127.0.0.1:1"), `"known":{"version":1,"servers":[{"id":"s-1","addr":"127.0.0.1:1","cell":0,"state":"Ready"}]},`, "", 1)
+	text = strings.Replace(text, `"Lanes":[{"Name":"pull","PromiseMs":60000,"DeadlineMs":60000`, `"Lanes":[{"Name":"pull","PromiseMs":50,"DeadlineMs":50`, 1)
+	text = strings.Replace(text, `"PromiseMs":60000,"DeadlineMs":60000,"DedupWindowMs"`, `"PromiseMs":50,"DeadlineMs":50,"DedupWindowMs"`, 1)
+	cmd, until := started(t, strings.Replace(text, `"discovery":"127.0.0.1:1"`, `"discovery":"`+silent.Addr().String()+`"`, 1))
+	addr := after(until("listening on"))
+	resp, err := http.Get("http://" + addr + "/ready")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready: %v %v", resp, err)
+	}
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		cmd.Process.Signal(s)
+	}
+	until("stopping")
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 // configFile is the file that a program was started with.
 func configFile(cmd *exec.Cmd) string {
 	return strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "ROUTER_CONFIG=")
--- a/internal/carrier/httpcarrier/backend_test.go
+++ b/internal/carrier/httpcarrier/backend_test.go
@@ -58,12 +58,14 @@
 	early
 	secondCopy
 	noiseBehind
+	noLength
+	noLengthReset
 	acts
 )
 
 var outcomes = [acts]policy.Status{policy.OK, policy.OK, policy.Error, policy.Full, policy.Error, policy.Reset,
 	policy.Error, policy.Reset, policy.Error, policy.OK, policy.Error, policy.Error, policy.Error, policy.Error,
-	policy.OK, policy.OK, policy.OK}
+	policy.OK, policy.OK, policy.OK, policy.OK, policy.Reset}
 
 func newStand(t testing.TB) *stand {
 	s := &stand{acts: make(chan byte, 1)}
@@ -99,6 +101,12 @@
 			answer("503 Service Unavailable", "")
 		case breakOff:
 			return
+		case noLength, noLengthReset: // the end of the connection is that of the answer, but a reset is none
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+r.Method+r.RequestURI+string(body))
+			if act == noLengthReset {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+			return
 		case garbage:
 			io.WriteString(c, "what?\r\n\r\n")
 			return
@@ -154,6 +162,7 @@
 	f.Add([]byte{fail, turnAway, noProof, halfAnswer, tooLarge, serve, badHeaders, 128 + halfAnswer})
 	f.Add([]byte{secondCopy, serve, 128 + secondCopy, noiseBehind, serve, 128 + noiseBehind, serve, early, serve})
 	f.Add([]byte{noise, serve, huge, 128 + noise, twoLengths, longHead, 128 + serve, early, 128 + secondCopy, breakOff})
+	f.Add([]byte{noLength, serve, noLengthReset, 128 + noLength, serve, 128 + noLengthReset, serve})
 	f.Add([]byte{serveAndClose, serve, garbage, serve, 128 + garbage, 128 + turnAway, breakOff})
 	f.Fuzz(func(t *testing.T, script []byte) {
 		node := newStand(t)
--- a/internal/front/httpfront/conns.go
+++ b/internal/front/httpfront/conns.go
@@ -36,12 +36,16 @@
 // that has a request finds its connection taken and read. Only one from which nothing has been read since its
 // last answer is ever shed: a request that has been read is taken, and its connection stays until the answer.
 type Conns struct {
-	Most    int
-	Clock   clock.Clock
-	Metrics *metrics.Set
+	Most int
+	// MostAhead bounds the bytes kept of what clients send while their requests are open, over all connections; 0: each
+	// one's own bound alone holds.
+	MostAhead int
+	Clock     clock.Clock
+	Metrics   *metrics.Set
 
 	mu    sync.Mutex
 	open  int
+	ahead int           // bytes kept now
 	fresh list.List     // of *client that have not said anything yet, the oldest first
 	idle  list.List     // of *client between requests, the longest idle first
 	armed bool          // a sweep is to come
@@ -99,6 +103,7 @@
 	ending  *list.Element // in conns.closing, once its sending has ended
 	unguard func()        // stops what closes it at the latest
 	over    bool          // it is closed
+	held    int           // bytes of conns.ahead that are its own
 
 	// These belong to the server's goroutines of this connection, of which one reads at a time.
 
@@ -147,6 +152,7 @@
 		} else {
 			k.ahead = k.ahead[n:]
 		}
+		k.hold(-n)
 	} else {
 		n, err = k.Conn.Read(p)
 	}
@@ -170,7 +176,7 @@
 func (k *client) watch(p []byte) (int, error) {
 	for k.flooded < floodMost {
 		n, err := k.Conn.Read(p)
-		keep := min(n, aheadMost-len(k.ahead))
+		keep := k.hold(min(n, aheadMost-len(k.ahead)))
 		k.ahead = append(k.ahead, p[:keep]...)
 		k.flooded += n - keep
 		if err != nil {
@@ -184,6 +190,22 @@
 	return 1, nil // it is not watched any more, nor read
 }
 
+// hold books bytes to be kept, or given back, and tells how many of them may be.
+func (k *client) hold(n int) int {
+	c := k.conns
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.over { // all has been given back
+		return 0
+	}
+	if c.MostAhead > 0 {
+		n = min(n, max(0, c.MostAhead-c.ahead))
+	}
+	k.held += n
+	c.ahead += n
+	return n
+}
+
 // heard notes the end of what the client sends.
 func (k *client) heard(err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -240,6 +262,7 @@
 		return
 	}
 	k.over = true
+	k.conns.ahead -= k.held
 	k.conns.closing.Remove(k.ending)
 	k.unguard()
 	k.Conn.Close()
--- a/internal/front/httpfront/races_test.go
+++ b/internal/front/httpfront/races_test.go
@@ -181,6 +181,39 @@
 	}
 }
 
+// What all clients together send ahead is bounded, whatever each of them may: beyond it, a connection ends behind the
+// answer that is under way, and what is closed gives back what it held.
+func TestSentAheadIsBoundedInAll(t *testing.T) {
+	const clients = 3
+	g := &gated{read: make(chan struct{}), left: clients * (len(get(1)) + aheadMost)}
+	s := serving(t, func(_ *server, ln net.Listener) net.Listener { g.Listener = ln; return g })
+	s.conns.MostAhead = aheadMost / 2
+	held := func() int {
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		return s.conns.ahead
+	}
+	var all []*net.TCPConn
+	for range clients {
+		c := s.dial(t)
+		io.WriteString(c, get(1))
+		soon(t, "a request", s.taken)
+		io.WriteString(c, strings.Repeat("x", aheadMost))
+		all = append(all, c)
+	}
+	soon(t, "all that was sent", g.read) // and all but the last pieces of it have been kept, or dropped
+	if n := held(); n == 0 || n > s.conns.MostAhead {
+		t.Errorf("%d bytes are held of %d at most", n, s.conns.MostAhead)
+	}
+	for _, c := range all {
+		c.Close()
+		soon(t, "one that has left", s.gone)
+	}
+	for held() > 0 { // it is given back where the server closes the connection
+		runtime.Gosched()
+	}
+}
+
 // Requests sent at once by a client that stays are answered one after the other. Those beyond what may be kept are not,
 // and the connection ends behind the answer that was under way.
 func TestRequestsSentAtOnce(t *testing.T) {
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -24,6 +24,10 @@
 	idleTime    = 30 * time.Second        // between requests
 )
 
+// aheadPart of the memory may hold what clients have sent ahead: small beside the requests and answers that are open, of up
+// to 64 KiB each, on all connections.
+const aheadPart = 1.0 / 16
+
 // platform is the front that the platform's clients use.
 type platform struct {
 	base
@@ -36,7 +40,8 @@
 
 func newPlatform(g *Gateway) *platform {
 	clients := max(1, g.cfg.Sockets*3/8)
-	conns := &httpfront.Conns{Most: max(1, clients*15/16), Clock: g.Clock, Metrics: g.Metrics}
+	conns := &httpfront.Conns{Most: max(1, clients*15/16), Clock: g.Clock, Metrics: g.Metrics,
+		MostAhead: int(g.cfg.MemoryMB * aheadPart * (1 << 20))}
 	return &platform{g: g, conns: conns, front: &httpfront.Front{Loop: g.loop, Carrier: g.back, Clock: g.Clock,
 		Metrics: g.Metrics, Settings: &g.cfg.Settings, Conns: conns}}
 }
