--- a/internal/front/httpfront/races_test.go
+++ b/internal/front/httpfront/races_test.go
@@ -15,6 +15,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/core"
+	"gaugerelay/internal/front/hangup"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/standin"
 )
@@ -286,6 +287,32 @@
 	}
 }
 
+// Clients that do not end their side of a connection that has been closed hold few places: the first are cut.
+func TestFewConnectionsLinger(t *testing.T) {
+	s := serving(t, nil) // one sixteenth of nine places, and one at the least
+	var all []*net.TCPConn
+	for range 3 {
+		c := s.dial(t)
+		io.WriteString(c, "nonsense\r\n\r\n")
+		if b, err := io.ReadAll(c); err != nil || !strings.Contains(string(b), " 400 ") {
+			t.Errorf("%q, %v", b, err)
+		}
+		all = append(all, c)
+	}
+	s.conns.mu.Lock()
+	n := s.conns.closing.Len()
+	s.conns.mu.Unlock()
+	if n != 1 {
+		t.Errorf("%d linger, want 1", n)
+	}
+	s.clock.Advance(hangup.CloseMs) // and none for longer than that
+	for _, c := range all {
+		for _, err := io.WriteString(c, "more"); err == nil; _, err = io.WriteString(c, "more") {
+			runtime.Gosched()
+		}
+	}
+}
+
 // A request that reaches a resting connection in the moment in which it is shed is not taken, and its client sees the
 // connection end, not reset: it sends the request once more.
 func TestRequestThatCrossesShedding(t *testing.T) {
