Take in what the watch has got before the first byte of an attempt

Seen by reading: drains are asked for at each first byte, but only those that have been read. A process that was stopped, or had no processor, for longer than the grace (250 ms in some settings) wakes with news unread in its watch's socket, and what was decided before goes out in the same moment.

It costs one system call. Sync returns when the loop ends, too.

--- a/internal/carrier/filecarrier/backend.go
+++ b/internal/carrier/filecarrier/backend.go
@@ -67,6 +67,8 @@
 	MaxSessions           int // connections open at once, to all nodes
 	// Address tells where a node takes file commands.
 	Address func(n *core.Node) (addr string, ok bool)
+	// CatchUp returns once all that this machine has got of the node list counts; nil: there is nothing to wait for.
+	CatchUp func()
 	// Dial opens connections; nil: the machine's network.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -129,6 +131,9 @@
 		return
 	}
 	// Told while the session was opened: nothing new goes to the node, nor anything for a client that has left.
+	if b.opt.CatchUp != nil {
+		b.opt.CatchUp()
+	}
 	if a.Over(b.clock.NowMs()) {
 		b.rest(s)
 		status := policy.Full
--- a/internal/carrier/httpcarrier/backend.go
+++ b/internal/carrier/httpcarrier/backend.go
@@ -40,6 +40,9 @@
 	MaxConns              int      // connections open at once, to all nodes
 	ReportFields          []string // of X-Backend-Load, in order
 	RestMs                float64  // how long a connection rests behind an answer before the next request goes out on it
+	// CatchUp is called before the first byte of an attempt: it returns once all that this machine has got of the node list
+	// counts. nil: there is nothing to wait for.
+	CatchUp func()
 	// Dial opens connections; nil: the machine's network.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -170,8 +170,13 @@
 func (c *conn) Write(p []byte) (int, error) {
 	t := c.try.Load()
 	c.rest()
-	if t != nil && !t.ends && len(t.head) == 0 && t.over() {
-		return 0, errOver
+	if t != nil && !t.ends && len(t.head) == 0 {
+		if catchUp := c.back.opt.CatchUp; catchUp != nil {
+			catchUp()
+		}
+		if t.over() {
+			return 0, errOver
+		}
 	}
 	c.mu.Lock()
 	// A node may answer before it has all of the request. The rest of that begins nothing.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -87,6 +87,7 @@
 	Tell func(core.List)
 
 	client *http.Client
+	heard  heard
 
 	mu      sync.Mutex
 	addr    string
@@ -105,9 +106,10 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Watcher{addr: addr, Clock: c, Metrics: m, Tell: tell, version: known.Version, list: nodelist.New(news(known)),
-		client: &http.Client{CheckRedirect: stay, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: dial,
-			MaxResponseHeaderBytes: 16 << 10}}}
+	w := &Watcher{addr: addr, Clock: c, Metrics: m, Tell: tell, version: known.Version, list: nodelist.New(news(known))}
+	w.client = &http.Client{CheckRedirect: stay, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
+		DialContext: w.heard.listen(dial), MaxResponseHeaderBytes: 16 << 10}}
+	return w
 }
 
 // isArray guards against a whole list without its entries: taken for one, it would empty the one held.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -57,10 +57,9 @@
 // is open it is not opened again.
 func TestWatch(t *testing.T) {
 	calls := make(chan string, 10)
-	feed := make(chan string)
+	feed := make(chan string) // the answer begins with the first line of it
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
-		w.(http.Flusher).Flush()
 		for line := range feed {
 			if line == "end" {
 				return
--- /dev/null
+++ b/internal/discovery/heard.go
@@ -0,0 +1,122 @@
+package discovery
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// catchUpMs bounds CatchUp: half of what the rules' times are longer by.
+const catchUpMs = 25
+
+// heard follows whether all that has come on the latest watch's connection was told.
+type heard struct {
+	mu   sync.Mutex
+	line *line
+	busy bool          // what was read of it is being told
+	rest chan struct{} // closed once it has been; nil: nobody waits
+}
+
+// line is a watch's connection. Whoever reads it again has told all that was read before.
+type line struct {
+	net.Conn
+	h *heard
+}
+
+// listen has a dial's connections followed.
+func (h *heard) listen(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		l := &line{nc, h}
+		h.mu.Lock()
+		h.line = l
+		h.set(false)
+		h.mu.Unlock()
+		return l, nil
+	}
+}
+
+// set notes whether something is being told. h.mu is held.
+func (h *heard) set(busy bool) {
+	h.busy = busy
+	if !busy && h.rest != nil {
+		close(h.rest)
+		h.rest = nil
+	}
+}
+
+func (h *heard) note(l *line, busy bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.line == l {
+		h.set(busy)
+	}
+}
+
+func (l *line) Read(p []byte) (int, error) {
+	l.h.note(l, false)
+	n, err := l.Conn.Read(p)
+	l.h.note(l, n > 0)
+	return n, err
+}
+
+func (l *line) Close() error {
+	l.h.mu.Lock()
+	if l.h.line == l {
+		l.h.line = nil
+		l.h.set(false)
+	}
+	l.h.mu.Unlock()
+	return l.Conn.Close()
+}
+
+// unread tells whether bytes wait in the system.
+func (l *line) unread() (yes bool) {
+	sc, ok := l.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		yes = err == nil && n > 0
+	})
+	return yes
+}
+
+// CatchUp waits until what has come on the watch was told, for catchUpMs at most. It guards against a process that was
+// stopped, or had no processor, for longer than the grace of drains: what was decided before goes out in the same moment
+// in which the news can be read. False: there was nothing to wait for.
+func (w *Watcher) CatchUp() (behind bool) {
+	h := &w.heard
+	var late chan struct{}
+	for {
+		h.mu.Lock()
+		if !h.busy && (h.line == nil || !h.line.unread()) {
+			h.mu.Unlock()
+			return behind
+		}
+		if h.rest == nil {
+			h.rest = make(chan struct{})
+		}
+		rest := h.rest
+		h.mu.Unlock()
+		if behind = true; late == nil {
+			w.Metrics.Add("attempts_held_for_news", 1)
+			late = make(chan struct{})
+			defer w.Clock.AfterFunc(catchUpMs, func() { close(late) })()
+		}
+		select {
+		case <-rest:
+		case <-late:
+			return behind
+		}
+	}
+}
--- a/internal/discovery/spoilt_test.go
+++ b/internal/discovery/spoilt_test.go
@@ -137,6 +137,9 @@
 				return
 			}
 			defer nc.Close()
+			in := bufio.NewReader(nc) // an answer to no request would end the connection
+			for line := ""; line != "\r\n" && err == nil; line, err = in.ReadString('\n') {
+			}
 			io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\n")
 			for range 5 {
 				time.Sleep(lineMs * time.Millisecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,7 +131,8 @@
 	}
 	g.loop = loop.New(scheduler, c, g.Metrics)
 	g.back = httpcarrier.New(httpcarrier.Options{ConnectMs: cfg.ConnectMs, ConnIdleMs: cfg.ConnIdleMs,
-		RestMs: restMs, MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields, Dial: network.Dial}, c, g.Metrics, g.loop)
+		RestMs: restMs, MaxConns: cfg.Sockets / 2, ReportFields: cfg.Settings.ReportFields, CatchUp: g.catchUp, Dial: network.Dial},
+		c, g.Metrics, g.loop)
 	g.watcher = discovery.New(cfg.Discovery, cfg.Known, c, g.Metrics, g.loop.Nodes, network.Dial)
 	front := newPlatform(g)
 	if others != nil { // before the fronts: parts are known sooner, and are given back later
@@ -183,6 +184,13 @@
 	return nil
 }
 
+// catchUp returns once what has come on the watch counts at the nodes' entries.
+func (g *Gateway) catchUp() {
+	if g.watcher.CatchUp() {
+		g.loop.Sync()
+	}
+}
+
 // Ended tells of a part that has ended by itself, which none should.
 func (g *Gateway) Ended() <-chan error { return g.ended }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -177,6 +177,10 @@
 		if !l.post(func(float64) { close(done) }) {
 			return
 		}
-		<-done
+		select {
+		case <-done:
+		case <-l.done: // it may have ended with that in its inbox
+			return
+		}
 	}
 }
