--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"gaugerelay/internal/core"
+	"gaugerelay/internal/sockets"
 )
 
 const (
@@ -238,20 +239,9 @@
 }
 
 // pending tells whether something has come that has not been read: surplus of an answer, or the connection's end.
-func (c *conn) pending() (yes bool) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		yes = err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return yes || err != nil
+func (c *conn) pending() bool {
+	bytes, err := sockets.Waiting(c.Conn)
+	return bytes || err != nil
 }
 
 // take reads from the connection and sees in the same moment, under mu, whether a request awaits what came. Seen a
--- a/internal/discovery/heard.go
+++ b/internal/discovery/heard.go
@@ -4,7 +4,8 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
+
+	"gaugerelay/internal/sockets"
 )
 
 // catchUpMs bounds CatchUp: half of what the rules' times are longer by.
@@ -74,23 +75,6 @@
 	return l.Conn.Close()
 }
 
-// unread tells whether bytes wait in the system.
-func (l *line) unread() (yes bool) {
-	sc, ok := l.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		yes = err == nil && n > 0
-	})
-	return yes
-}
-
 // CatchUp waits until what has come on the watch was told, for catchUpMs at most. It guards against a process that was
 // stopped, or had no processor, for longer than the grace of drains: what was decided before goes out in the same moment
 // in which the news can be read. False: there was nothing to wait for.
@@ -99,7 +83,11 @@
 	var late chan struct{}
 	for {
 		h.mu.Lock()
-		if !h.busy && (h.line == nil || !h.line.unread()) {
+		unread := false
+		if h.line != nil {
+			unread, _ = sockets.Waiting(h.line.Conn)
+		}
+		if !h.busy && !unread {
 			h.mu.Unlock()
 			return behind
 		}
--- a/internal/front/filefront/front.go
+++ b/internal/front/filefront/front.go
@@ -39,6 +39,7 @@
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/front/hangup"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/sockets"
 )
 
 const (
@@ -155,7 +156,7 @@
 	}()
 	f.Metrics.Add("file_connections", 1)
 	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
-	h := &handler{f, ctx, host, func() bool { return hangup.Seen(nc) }}
+	h := &handler{f, ctx, host, func() bool { return sockets.HungUp(nc) }}
 	err := sftp.NewRequestServer(c, sftp.Handlers{FileGet: h, FilePut: h, FileCmd: h, FileList: h},
 		sftp.WithRSMaxTxPacket(filecarrier.MaxData)).Serve()
 	c.drain() // the library's writer may still have answers in hand
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -22,8 +22,8 @@
 	"gaugerelay/internal/core"
 	"gaugerelay/internal/decide/leaving"
 	"gaugerelay/internal/front/form"
-	"gaugerelay/internal/front/hangup"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/sockets"
 )
 
 const (
@@ -151,7 +151,7 @@
 		req.LeftMs -= marginMs
 	}
 	if k := clientOf(r.Context()); k != nil && !f.Devices { // what devices ask for goes on without them
-		if req.Away = func() bool { return hangup.Seen(k.Conn) }; req.Away() {
+		if req.Away = func() bool { return sockets.HungUp(k.Conn) }; req.Away() {
 			f.Metrics.Add("requests_abandoned", 1) // it waited for longer, unread, than its client did
 			panic(http.ErrAbortHandler)
 		}
