Never take a wake that comes during a step for one that came too early

Ruled out: the front, the guard's time, the test.

Cause: loop.Run read the clock, handled what waited, and stepped the module by that reading. A wake that fell due meanwhile was handled in the same step with a time before its own; the module ignores such, counts itself as still to be woken, and asks for no other. From then on it moves only by what comes: requests that are held are answered late or by the guard, and lists are not asked for in time, so drains are not heard.

Change: the step's time is read behind what it takes in. Test: a wake that falls due while the loop handles something; without the mend the module is stepped at 100 ms for a wake at 150.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -57,7 +57,9 @@
 			for n := len(l.inbox); n > 0; n-- { // all that waits is one step
 				(<-l.inbox)(now)
 			}
-			l.core.Step(now)
+			// A wake that came while these were handled is for a time that is later than theirs. Taken for one that
+			// came too early it would be none, and the module would wait for another for good.
+			l.core.Step(l.Clock.NowMs())
 			if l.core.Ready() && !l.ready.Swap(true) {
 				l.BecameReady()
 			}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// A wake that comes while what came before it is handled belongs to the same step, and is not too early for it.
+func TestWakeDuringAStep(t *testing.T) {
+	now, s := clock.NewManual(100), &stepper{wake: 150 * time.Millisecond}
+	l := New(s, now, metrics.New())
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	l.Nodes(core.List{})
+	l.Sync()
+	l.Post(func(float64) { now.Advance(70) }) // the loop has read the clock, and the wake falls due now
+	l.Sync()
+	cancel()
+	<-l.done
+	if len(s.at) != 2 || s.at[1] != 170*time.Millisecond {
+		t.Errorf("stepped at %v, want the last at 170 ms", s.at)
+	}
+}
+
 // Requests leave the last quarter of the inbox to the ends of attempts.
 func TestFullInboxTurnsRequestsAwayOnly(t *testing.T) {
 	s := &stepper{block: make(chan struct{})}
