Share the set-up of tests that race, and drop a result nobody reads

Two tests of the loop and two of the HTTP front began with the same lines; sockets.control told whether there was a descriptor, and neither caller asked; one comment ran past its width.

Change: woken and gatedAt set those tests up, their assertions are as they were; control returns an error alone.

--- a/internal/carrier/httpcarrier/conn.go
+++ b/internal/carrier/httpcarrier/conn.go
@@ -166,8 +166,8 @@
 func (t *try) over() bool { return t.ctx.Err() != nil || t.Over(t.conn.back.clock.NowMs()) }
 
 // Write guards three rules. A drain counts from the first byte of a send, and the attempt may have waited for
-// this connection to come up, as its client may have left meanwhile; an attempt has never run if its last byte was not written; and no request goes out
-// where something has come that no request asked for.
+// this connection to come up, as its client may have left meanwhile; an attempt has never run if its last byte was
+// not written; and no request goes out where something has come that no request asked for.
 func (c *conn) Write(p []byte) (int, error) {
 	t := c.try.Load()
 	c.rest()
--- a/internal/front/httpfront/races_test.go
+++ b/internal/front/httpfront/races_test.go
@@ -114,6 +114,21 @@
 	return n, err
 }
 
+// gatedAt is a server behind a gate; it tells of each connection that gets to a state.
+func gatedAt(t *testing.T, state http.ConnState) (s *server, g *gated, there chan bool) {
+	there = make(chan bool, 4)
+	s = serving(t, func(s *server, ln net.Listener) net.Listener {
+		s.http.ConnState = func(nc net.Conn, at http.ConnState) {
+			if s.conns.State(nc, at); at == state {
+				there <- true
+			}
+		}
+		g = &gated{Listener: ln}
+		return g
+	})
+	return s, g, there
+}
+
 // A client that sends more behind its open request and then leaves has left all the same: with half a request, with a
 // whole one, with more than may be kept.
 func TestAClientThatSendsOnAndLeaves(t *testing.T) {
@@ -142,17 +157,7 @@
 
 // A client that leaves before its request has been read has left as well: it is not handed in at all.
 func TestAClientThatLeavesUnread(t *testing.T) {
-	var g *gated
-	closed := make(chan bool, 4)
-	s := serving(t, func(s *server, ln net.Listener) net.Listener {
-		s.http.ConnState = func(nc net.Conn, at http.ConnState) {
-			if s.conns.State(nc, at); at == http.StateClosed {
-				closed <- true
-			}
-		}
-		g = &gated{Listener: ln}
-		return g
-	})
+	s, g, closed := gatedAt(t, http.StateClosed)
 	g.mu.Lock()
 	c := s.dial(t)
 	io.WriteString(c, get(1))
@@ -316,17 +321,7 @@
 // A request that reaches a resting connection in the moment in which it is shed is not taken, and its client sees the
 // connection end, not reset: it sends the request once more.
 func TestRequestThatCrossesShedding(t *testing.T) {
-	var g *gated
-	resting := make(chan bool, 4)
-	s := serving(t, func(s *server, ln net.Listener) net.Listener {
-		s.http.ConnState = func(nc net.Conn, at http.ConnState) {
-			if s.conns.State(nc, at); at == http.StateIdle {
-				resting <- true
-			}
-		}
-		g = &gated{Listener: ln}
-		return g
-	})
+	s, g, resting := gatedAt(t, http.StateIdle)
 	c := s.dial(t)
 	in := bufio.NewReader(c)
 	io.WriteString(c, get(1))
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -32,20 +32,25 @@
 	return []policy.Action{policy.WakeAt{At: at}}
 }
 
-// The module is woken at the time it asked for, by the one clock.
-func TestWake(t *testing.T) {
-	now, s := clock.NewManual(100), &stepper{wake: 150 * time.Millisecond}
-	l := New(s, now, metrics.New())
+// woken is a running loop whose module was stepped at 100 ms and asks to be woken at 150; end ends it.
+func woken() (now *clock.Manual, s *stepper, l *Loop, end func()) {
+	now, s = clock.NewManual(100), &stepper{wake: 150 * time.Millisecond}
+	l = New(s, now, metrics.New())
 	ctx, cancel := context.WithCancel(context.Background())
 	go l.Run(ctx)
 	l.Nodes(core.List{})
 	l.Sync()
+	return now, s, l, func() { cancel(); <-l.done }
+}
+
+// The module is woken at the time it asked for, by the one clock.
+func TestWake(t *testing.T) {
+	now, s, l, end := woken()
 	now.Advance(49)
 	l.Sync()
 	now.Advance(1)
 	l.Sync()
-	cancel()
-	<-l.done
+	end()
 	if len(s.at) != 2 || s.at[1] != 150*time.Millisecond || !l.Ready() {
 		t.Errorf("stepped at %v, ready %v", s.at, l.Ready())
 	}
@@ -56,16 +61,10 @@
 
 // A wake that comes while what came before it is handled belongs to the same step, and is not too early for it.
 func TestWakeDuringAStep(t *testing.T) {
-	now, s := clock.NewManual(100), &stepper{wake: 150 * time.Millisecond}
-	l := New(s, now, metrics.New())
-	ctx, cancel := context.WithCancel(context.Background())
-	go l.Run(ctx)
-	l.Nodes(core.List{})
-	l.Sync()
+	now, s, l, end := woken()
 	l.Post(func(float64) { now.Advance(70) }) // the loop has read the clock, and the wake falls due now
 	l.Sync()
-	cancel()
-	<-l.done
+	end()
 	if len(s.at) != 2 || s.at[1] != 170*time.Millisecond {
 		t.Errorf("stepped at %v, want the last at 170 ms", s.at)
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -10,24 +10,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// control calls f with the connection's descriptor. False: it has none; an error: it is closed.
-func control(nc net.Conn, f func(fd int)) (bool, error) {
+// control calls f with the connection's descriptor, if it has one. An error: it is closed.
+func control(nc net.Conn, f func(fd int)) error {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false, nil
+		return nil
 	}
 	raw, err := sc.SyscallConn()
-	if err == nil {
-		err = raw.Control(func(fd uintptr) { f(int(fd)) })
+	if err != nil {
+		return err
 	}
-	return true, err
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // Waiting tells whether bytes have come that nobody has read, or that none will come any more: io.EOF, or the system's
 // error.
 func Waiting(nc net.Conn) (bytes bool, err error) {
 	var found error
-	_, err = control(nc, func(fd int) {
+	err = control(nc, func(fd int) {
 		n, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case err == unix.EAGAIN || err == unix.EINTR:
@@ -49,7 +49,7 @@
 // read: a reader that waits for room, or for an answer, sees such an end too late.
 func HungUp(nc net.Conn) bool {
 	yes := false
-	_, err := control(nc, func(fd int) {
+	err := control(nc, func(fd int) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(p, 0)
 		yes = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
