--- a/review/cases/case3/main.go
+++ b/review/cases/case3/main.go
@@ -1,220 +1,118 @@
-// Case 3: the link of a device stalls for some seconds while the device sends a keyed write, so the device reconnects, reaches
-// another gateway and sends the write again there. The write must take effect once.
+// Case 3: an open watch of discovery falls silent, a storage node begins to drain, and discovery goes down for 8 s. What the watch
+// misses counts as told 6 s after it fell silent, so nothing may be sent to the storage node later than the grace after that.
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"review/standin"
 )
 
+// Times from when the watch was opened, but for those that are named as lengths. Discovery sends an empty line every 2 s.
 const (
-	dedupWindow = 3 * time.Second // the DedupWindowMs of the class push
-	stall       = 6 * time.Second // of the link to the first gateway
-	resendAfter = time.Second     // the device's wait until it reconnects
-	timeLeftMs  = 2500
-	writes      = 5
+	silentAt  = 4600 * time.Millisecond
+	drainAt   = 5500 * time.Millisecond
+	downAt    = 6200 * time.Millisecond
+	outage    = 8 * time.Second // length
+	endAt     = 20 * time.Second
+	toldAfter = 6 * time.Second       // length, from when the watch fell silent
+	grace     = time.Second           // length, DrainGraceMs
+	slack     = 50 * time.Millisecond // length, of every time limit on sockets
+	nodes     = 2                     // the first of them drains
+	pause     = 20 * time.Millisecond // between two requests of the client
 )
 
 func main() { standin.Run(run) }
 
 func run(env *standin.Env) (int, error) {
-	node := &node{env: env, ran: map[string]time.Time{}, times: map[string]int{}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	go func() { _ = http.Serve(listener, node) }()
-	list := standin.List{Version: 1, Full: true, Servers: []standin.Server{{ID: "s-00000001", Addr: listener.Addr().String(),
-		Zone: "salt-lake", Kind: "std-node", State: "Ready", Weight: 1}}}
-	discovery, err := standin.StartDiscovery(env, list, nil)
-	if err != nil {
-		return 0, err
-	}
-	var devices [2]string
-	for i := range devices {
-		listen, err := standin.FreeAddr()
-		if err != nil {
-			return 0, err
-		}
-		if devices[i], err = standin.FreeAddr(); err != nil {
-			return 0, err
-		}
-		config := standin.Config(fmt.Sprintf("n%d", i), listen, discovery.Addr, list, standin.Settings(2, 1))
-		if _, err := env.StartGateway(config, map[string]any{"devices": map[string]any{"http": devices[i]}}); err != nil {
-			return 0, err
+	var startNanos atomic.Int64 // when the watch was opened
+	sinceStart := func() time.Duration {
+		if nanos := startNanos.Load(); nanos != 0 {
+			return time.Since(time.Unix(0, nanos))
 		}
+		return 0
 	}
-	var wait sync.WaitGroup
-	errs := make(chan error, writes)
-	for i := range writes {
-		wait.Go(func() { errs <- device(env, fmt.Sprintf("device-%d", i), devices[0], devices[1]) })
-	}
-	wait.Wait()
-	for range writes {
-		if err := <-errs; err != nil {
+	lateFrom := silentAt + toldAfter + grace + slack
+	var late, after atomic.Int64
+	list := standin.List{Version: 1, Full: true}
+	for i := range nodes {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
 			return 0, err
 		}
-	}
-	node.mu.Lock()
-	defer node.mu.Unlock()
-	twice := 0
-	for key, times := range node.times {
-		if times > 1 {
-			twice++
-			env.Logf("DUPLICATE: the write with the key %s took effect %d times", key, times)
-		}
-	}
-	env.Sayf("writes %d, of which took effect more than once %d", len(node.times), twice)
-	if twice > 0 {
-		return standin.Broken, nil
-	}
-	return standin.Held, nil
-}
-
-// device sends one write. It uses the first gateway until that does not answer for resendAfter, and then the second one.
-func device(env *standin.Env, name, first, second string) error {
-	link, err := startLink(first)
+		go func() {
+			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				at := sinceStart()
+				if i == 0 && at >= drainAt { // a draining storage node turns away what is new
+					after.Add(1)
+					env.Logf("node 0: turned away %s", r.Header.Get("X-Correlation-Id"))
+					if env.Trouble && at > lateFrom {
+						late.Add(1)
+						env.Logf("DRAIN: %s was sent %v after the drain counted as told", r.Header.Get("X-Correlation-Id"),
+							(at - silentAt - toldAfter).Round(time.Millisecond))
+					}
+					w.Header().Set("X-Unprocessed", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				_, _ = io.WriteString(w, "data")
+			}))
+		}()
+		list.Servers = append(list.Servers, standin.Server{ID: fmt.Sprintf("s-%08x", i+1), Addr: listener.Addr().String(),
+			Zone: "salt-lake", Kind: "std-node", Cell: i, State: "Ready", Weight: 1})
+	}
+	isDown := func() bool { at := sinceStart(); return env.Trouble && at >= downAt && at < downAt+outage }
+	discovery, err := standin.StartDiscovery(env, list, func() bool { return !isDown() })
 	if err != nil {
-		return err
+		return 0, err
 	}
-	connection, err := standin.Dial(link.addr)
+	listen, err := standin.FreeAddr()
 	if err != nil {
-		return err
-	}
-	hello := &standin.Request{ID: name + "-read", Class: "pull", Object: "00000000000000aa", TimeLeftMs: 1500,
-		Headers: []string{"X-Device-Id: " + name}}
-	status, header, _, err := connection.Do(hello)
-	if err != nil || status != http.StatusOK {
-		return fmt.Errorf("%s: the first read got %d, %v", name, status, err)
-	}
-	if env.Trouble {
-		link.stallFor(stall)
-	}
-	write := &standin.Request{ID: name + "-write-1", Class: "push", Object: "00000000000000bb", TimeLeftMs: timeLeftMs,
-		Key: name + "-key", Body: "layer", Headers: []string{"X-Device-Id: " + name}}
-	sent := time.Now()
-	env.Logf("%s: sends the write to the first gateway", name)
-	if _, err := connection.Conn.Write(write.Bytes()); err != nil {
-		return err
-	}
-	status, _, body, err := connection.Answer(resendAfter)
-	if err == nil {
-		env.Logf("%s: answer %d %q from the first gateway", name, status, body)
-		connection.Conn.Close()
-		return nil
+		return 0, err
 	}
-	connection.Conn.Close()
-	ageMs := time.Since(sent).Milliseconds()
-	env.Logf("%s: no answer (%v); closes the connection and sends the write to the second gateway, age %d ms", name, err, ageMs)
-	again, err := standin.Dial(second)
+	gateway, err := env.StartGateway(standin.Config("n0", listen, discovery.Addr, list, standin.Settings(3, nodes)), nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	defer again.Conn.Close()
-	write.ID, write.TimeLeftMs = name+"-write-2", timeLeftMs-int(ageMs)
-	write.Headers = append(write.Headers, "X-Repeat: 1", fmt.Sprintf("X-Age-Ms: %d", ageMs), "X-Sent-To: "+header.Get("X-Gateway"))
-	if status, _, body, err = again.Do(write); err != nil {
-		return fmt.Errorf("%s: the second gateway: %w", name, err)
+	var start time.Time
+	select {
+	case start = <-discovery.Opened:
+	case <-time.After(10 * time.Second):
+		return 0, fmt.Errorf("the gateway opened no watch")
 	}
-	env.Logf("%s: answer %d %q from the second gateway", name, status, body)
-	time.Sleep(time.Until(sent.Add(stall + 2*time.Second)))
-	return nil
-}
-
-// node is a storage node that drops repeats of a keyed write for dedupWindow.
-type node struct {
-	env *standin.Env
-
-	mu    sync.Mutex
-	ran   map[string]time.Time // when the latest execution of each key began
-	times map[string]int       // how often each key took effect
-}
-
-func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	time.Sleep(5 * time.Millisecond)
-	if key := r.Header.Get("Idempotency-Key"); key != "" {
-		n.mu.Lock()
-		last, known := n.ran[key]
-		if known && time.Since(last) < dedupWindow {
-			n.env.Logf("node: dropped a repeat of the key %s, id %s", key, r.Header.Get("X-Correlation-Id"))
-		} else {
-			n.ran[key] = time.Now()
-			n.times[key]++
-			n.env.Logf("node: ran the key %s, id %s", key, r.Header.Get("X-Correlation-Id"))
-		}
-		n.mu.Unlock()
+	startNanos.Store(start.UnixNano())
+	if env.Trouble {
+		time.AfterFunc(time.Until(start.Add(silentAt)), discovery.Silence)
+		time.AfterFunc(time.Until(start.Add(downAt)), discovery.EndWatches)
 	}
-	_, _ = io.WriteString(w, "done")
-}
-
-// link is a proxy to a gateway that can stall.
-type link struct {
-	addr string
-
-	mu    sync.Mutex
-	until time.Time
-}
-
-func (l *link) stallFor(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.until = time.Now().Add(d)
-}
-
-func (l *link) wait() {
-	l.mu.Lock()
-	until := l.until
-	l.mu.Unlock()
-	time.Sleep(time.Until(until))
-}
-
-func startLink(addr string) (*link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	time.AfterFunc(time.Until(start.Add(drainAt)), func() { discovery.Change("s-00000001", "Terminating") })
+	client, err := standin.Dial(gateway.Listen)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
-	l := &link{addr: listener.Addr().String()}
-	go func() {
-		near, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", addr)
-		if err != nil {
-			near.Close()
-			return
-		}
-		go l.forward(near, far)
-		l.forward(far, near)
-	}()
-	return l, nil
-}
-
-// forward copies bytes, and the end of them, from one connection to another. It holds back both while the link stalls.
-func (l *link) forward(from, to net.Conn) {
-	reader := bufio.NewReader(from)
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := reader.Read(buffer)
-		l.wait()
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				break
-			}
-		}
+	defer client.Conn.Close()
+	counts := map[int]int{}
+	for n := 0; time.Since(start) < endAt; n++ {
+		status, _, _, err := client.Do(&standin.Request{ID: fmt.Sprintf("c0-%06d", n), Class: "pull",
+			Object: fmt.Sprintf("%016x", n), Shard: n % nodes, TimeLeftMs: 1500})
 		if err != nil {
-			break
+			return 0, err
 		}
+		counts[status]++
+		time.Sleep(pause)
 	}
-	if tcp, ok := to.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	env.Sayf("answers by status %v, requests sent to the draining node %d, of them later than the grace after it counted as told %d",
+		counts, after.Load(), late.Load())
+	if counts[http.StatusOK] == 0 {
+		return 0, fmt.Errorf("nothing was served")
 	}
+	if late.Load() > 0 {
+		return standin.Broken, nil
+	}
+	return standin.Held, nil
 }
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -12,13 +12,17 @@
 // Discovery serves the endpoint list and its changes.
 type Discovery struct {
 	Addr string
+	// Opened gets the time at which the first watch was opened.
+	Opened chan time.Time
 	// BeforeCall, if set, is called for each call of a watch. If it returns false, the call is answered by 503.
 	BeforeCall func() bool
 
-	mu      sync.Mutex
-	list    List
-	changes []List
-	changed chan struct{} // closed at the next change
+	mu       sync.Mutex
+	list     List
+	changes  []List
+	changed  chan struct{} // closed at the next change
+	silenced chan struct{} // closed by Silence
+	ended    chan struct{} // closed by EndWatches
 }
 
 // StartDiscovery starts a discovery service on a loopback port.
@@ -27,12 +31,29 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{Addr: listener.Addr().String(), BeforeCall: beforeCall, list: list, changed: make(chan struct{})}
+	d := &Discovery{Addr: listener.Addr().String(), Opened: make(chan time.Time, 1), BeforeCall: beforeCall, list: list,
+		changed: make(chan struct{}), silenced: make(chan struct{}), ended: make(chan struct{})}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(env, w, r) })}
 	go func() { _ = server.Serve(listener) }()
 	return d, nil
 }
 
+// Silence makes the open watches fall silent: they stay open and carry nothing more.
+func (d *Discovery) Silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.silenced)
+	d.silenced = make(chan struct{})
+}
+
+// EndWatches ends the open watches.
+func (d *Discovery) EndWatches() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.ended)
+	d.ended = make(chan struct{})
+}
+
 // Change sets the state of one server and tells the open watches.
 func (d *Discovery) Change(id, state string) {
 	d.mu.Lock()
@@ -57,6 +78,7 @@
 	}
 	d.mu.Lock()
 	list, next, changed := d.list, len(d.changes), d.changed
+	silenced, ended := d.silenced, d.ended
 	text, _ := json.Marshal(list)
 	d.mu.Unlock()
 	fmt.Fprintf(w, "%s\n", text)
@@ -66,11 +88,27 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.Flush()
+	select {
+	case d.Opened <- time.Now():
+	default:
+	}
 	for {
 		select {
 		case <-r.Context().Done():
 			env.Logf("discovery: the watch has ended")
 			return
+		case <-ended:
+			env.Logf("discovery: ends the watch")
+			return
+		case <-silenced:
+			env.Logf("discovery: the watch falls silent")
+			select {
+			case <-ended:
+				env.Logf("discovery: ends the watch")
+			case <-r.Context().Done():
+				env.Logf("discovery: the watch has ended")
+			}
+			return
 		case <-time.After(2 * time.Second):
 			fmt.Fprint(w, "\n")
 		case <-changed:
