Log each WRITE that is taken for a retransmission of an earlier one

Three causes fit: the frontend took the WRITEs for retransmissions and never sent them; they were sent and the server dropped them by an upload key used before; an OPEN that truncates ran again behind them. Neither logs nor counters of the gateway told a WRITE that joined an earlier one from others: file_writes_rejoined has no file, age or key.

Change: the event sftp_write_rejoined with client, path, offset, age and upload key.

--- a/internal/frontend/sftpserver/file.go
+++ b/internal/frontend/sftpserver/file.go
@@ -4,10 +4,12 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"log/slog"
 	"sync"
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/logevent"
 	"gaugerelay/internal/sftpwire"
 )
 
@@ -99,6 +101,8 @@
 			server.Metrics.Add(writesRejoined, 1)
 			ageMs = record.firstReceivedMs - earlier.firstReceivedMs
 			record = earlier
+			slog.Info(logevent.SFTPWriteRejoined, logevent.Client, f.handler.clientHost, logevent.Path, f.path,
+				logevent.Offset, offset, logevent.AgeMs, ageMs, logevent.UploadKey, record.uploadKey)
 		}
 	}
 	if record.uploadKey == "" {
--- a/internal/logevent/event.go
+++ b/internal/logevent/event.go
@@ -35,8 +35,9 @@
 	AttemptStarted   = "attempt_started"
 	AttemptEnded     = "attempt_ended"
 
-	SFTPClientError = "sftp_client_error"
-	DeviceError     = "device_error"
+	SFTPClientError   = "sftp_client_error"
+	SFTPWriteRejoined = "sftp_write_rejoined"
+	DeviceError       = "device_error"
 
 	FleetMemberChanged    = "fleet_member_changed"
 	FleetIdentityConflict = "fleet_identity_conflict"
@@ -51,16 +52,19 @@
 // Keys of the fields of log records. The comment on a key describes the field's value. Times are in milliseconds.
 const (
 	Address       = "addr"
+	AgeMs         = "age_ms"    // time since the first transmission of a WRITE
 	Announced     = "announced" // true if the BGP prefixes are announced, false if they are withdrawn
 	Attempt       = "attempt"
 	Changed       = "changed" // names of the changed parts of the configuration that require a restart
 	Client        = "client"
 	Discovery     = "discovery" // address of the discovery service in use after a reload
 	Error         = "error"
-	Name          = "name" // name of the gateway
-	PacketType    = "type" // type of an SFTP packet
-	Peer          = "peer" // address of a BGP peer
-	Purpose       = "for"  // purpose of a listener, such as clients or file commands
+	Name          = "name"   // name of the gateway
+	Offset        = "offset" // start of the range of a WRITE in bytes
+	PacketType    = "type"   // type of an SFTP packet
+	Path          = "path"   // path of a file
+	Peer          = "peer"   // address of a BGP peer
+	Purpose       = "for"    // purpose of a listener, such as clients or file commands
 	Reason        = "reason"
 	Request       = "request"
 	RetryWithinMs = "retry_within_ms"
@@ -71,6 +75,7 @@
 	Status        = "status"
 	Text          = "text" // text of an unstructured message
 	TookMs        = "took_ms"
+	UploadKey     = "upload_key"
 	Version       = "version"
 )
 
