Execute a WRITE of file commands again if its range may have changed since

Cause: sftpserver.writeHistory took a WRITE for a retransmission if it had the client, path, offset and data of an earlier one on a handle that was not closed. It knew only the WRITEs of the same client: an OPEN that truncates, and WRITEs of other clients, were not recorded, and the failed WRITEs of a handle were only compared with later ones of that handle. So the WRITE got the kept response to one whose effect was gone, or went out with a key that the server had run before and dropped.

Change: fileHistory records every change of a file by any client and handle, WRITEs and OPENs that truncate or create exclusively, with the place of its arrival and of its response in one order of events. A WRITE is a retransmission only if no change of other content in its range may have taken effect after the earlier WRITE was first received; a pending change may, one that failed may until its deadline, one that was rejected is removed. Equal WRITEs do not count, whoever sent them. When the history is full, a WRITE from before the end of a removed change counts as changed. Why this is enough: the order of what was answered is the order that clients can know, and a WRITE is only answered without running while the range has the content that it would write.

A WRITE that was rejected is no longer held as one that may have run, so it is not failed when it comes again on a new connection.

--- a/internal/frontend/sftpserver/errors.go
+++ b/internal/frontend/sftpserver/errors.go
@@ -1,6 +1,7 @@
 package sftpserver
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -23,16 +24,28 @@
 	errNotWritable     = fmt.Errorf("not open for writing: %w", sftp.ErrSSHFxPermissionDenied)
 )
 
-// busyError returns the error for a command that was rejected, had no effect and may be retried after the delay.
-func busyError(retryAfterMs float64) error {
-	return fmt.Errorf("busy, nothing was done, retry after %.0f ms: %w", max(1, retryAfterMs), sftp.ErrSSHFxFailure)
+// rejectedError is the error of a command that was rejected, had no effect and may be retried after the delay.
+type rejectedError struct{ retryAfterMs float64 }
+
+// Error implements error.
+func (e rejectedError) Error() string {
+	return fmt.Sprintf("busy, nothing was done, retry after %.0f ms: %v", max(1, e.retryAfterMs), sftp.ErrSSHFxFailure)
+}
+
+// Unwrap returns the error from which the library derives the status code.
+func (rejectedError) Unwrap() error { return sftp.ErrSSHFxFailure }
+
+// hadNoEffect reports whether a command that returned err was not executed, because it was rejected or invalid.
+func hadNoEffect(err error) bool {
+	var rejected rejectedError
+	return errors.As(err, &rejected) || errors.Is(err, errBadPath) || errors.Is(err, errNoRoot) || errors.Is(err, errBadRange)
 }
 
 // replyFromResponse returns the storage server's reply that a response contains, and the error to send to the client or nil.
 func replyFromResponse(response lifecycle.Response) (*sftpwire.Reply, error) {
 	switch response.Kind {
 	case lifecycle.Rejected:
-		return nil, busyError(response.RetryAfterMs)
+		return nil, rejectedError{response.RetryAfterMs}
 	case lifecycle.Served:
 		reply := response.Body.(*sftpwire.Reply)
 		return reply, errorFromStatus(reply.Code)
--- a/internal/frontend/sftpserver/file.go
+++ b/internal/frontend/sftpserver/file.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"sync"
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/lifecycle"
@@ -13,9 +12,6 @@
 	"gaugerelay/internal/sftpwire"
 )
 
-// maxFailedWrites bounds the number of failed writes that are recorded for each handle.
-const maxFailedWrites = 64
-
 // notRetransmitted is used in place of the age of a command that does not retransmit a WRITE of another handle.
 const notRetransmitted = -1
 
@@ -25,14 +21,11 @@
 	path     string
 	flags    uint32
 	openedMs float64
-
-	mu           sync.Mutex
-	failedWrites map[int64]writeRecord // writes that failed and may have been executed, by offset
 }
 
 // newOpenFile returns a handle whose opening time is the current time.
 func newOpenFile(h *handler, path string, flags uint32) *openFile {
-	return &openFile{handler: h, path: path, flags: flags, openedMs: h.server.Clock.NowMs(), failedWrites: map[int64]writeRecord{}}
+	return &openFile{handler: h, path: path, flags: flags, openedMs: h.server.Clock.NowMs()}
 }
 
 // ReadAt implements io.ReaderAt. Each READ is one request.
@@ -57,19 +50,40 @@
 	if f.flags&sftpwire.FlagWrite == 0 {
 		return 0, errNotWritable
 	}
-	record, ageMs := f.identifyWrite(data, offset)
-	command := &sftpwire.Command{Op: sftpwire.OpWrite, Offset: uint64(offset), Data: data, UploadKey: record.uploadKey}
+	server := f.handler.server
+	nowMs := server.Clock.NowMs()
+	write := newWrite(f, data, offset, nowMs, nowMs+clock.Ms(server.WriteClass.Deadline))
+	earlier, kind := server.history.beginWrite(write, server.retentionPeriods(), nowMs)
+	f.reportRetransmission(offset, earlier, kind, nowMs)
+	ageMs := float64(notRetransmitted) // of a retry on the same handle too: an exchange store recognizes it by its upload key
+	if kind == resentOnNewHandle {
+		ageMs = nowMs - earlier.firstReceivedMs
+	}
+	command := &sftpwire.Command{Op: sftpwire.OpWrite, Offset: uint64(offset), Data: data, UploadKey: write.uploadKey}
 	_, err := f.handler.execute(f.path, command, ageMs)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err == nil {
-		delete(f.failedWrites, offset)
-		return len(data), nil
+	f.handler.recordOutcome(write, err)
+	if err != nil {
+		return 0, err
 	}
-	if len(f.failedWrites) < maxFailedWrites {
-		f.failedWrites[offset] = record
+	return len(data), nil
+}
+
+// reportRetransmission counts and logs a WRITE that retransmits one of another handle, or does not because the range may have changed
+// since that one.
+func (f *openFile) reportRetransmission(offset int64, earlier writeIdentity, kind retransmission, nowMs float64) {
+	event := ""
+	switch kind {
+	case resentOnNewHandle:
+		event = logevent.SFTPWriteRejoined
+		f.handler.server.Metrics.Add(writesRejoined, 1)
+	case changedSinceEarlier:
+		event = logevent.SFTPWriteNotRejoined
+		f.handler.server.Metrics.Add(writesNotRejoined, 1)
+	default:
+		return
 	}
-	return 0, err
+	slog.Info(event, logevent.Client, f.handler.clientHost, logevent.Path, f.path, logevent.Offset, offset,
+		logevent.AgeMs, nowMs-earlier.firstReceivedMs, logevent.UploadKey, earlier.uploadKey)
 }
 
 // Close implements io.Closer. The library also calls it for handles that are still open when their connection is lost; those are
@@ -77,56 +91,11 @@
 func (f *openFile) Close() error {
 	server := f.handler.server
 	if server.RetentionMs > 0 && !f.handler.isDisconnected() {
-		server.writes.fileClosed(f, server.Clock.NowMs())
+		server.history.fileClosed(f, server.Clock.NowMs())
 	}
 	return nil
 }
 
-// identifyWrite returns the record of a WRITE. If the WRITE is a retransmission, the record is that of the earlier WRITE; otherwise it
-// is a new record with a new upload key.
-// ageMs is the time since the earlier WRITE was first received if that was on another handle; otherwise it is notRetransmitted.
-func (f *openFile) identifyWrite(data []byte, offset int64) (record writeRecord, ageMs float64) {
-	server := f.handler.server
-	record = writeRecord{offset: offset, digest: sha256.Sum256(data), size: len(data), firstReceivedMs: server.Clock.NowMs()}
-	windowMs := clock.Ms(server.WriteClass.DedupWindow)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if failed, ok := f.failedWrites[offset]; ok && failed.equals(&record) && record.firstReceivedMs-failed.firstReceivedMs < windowMs {
-		return failed, notRetransmitted // an exchange store, if there is one, recognizes the retransmission by its upload key
-	}
-	f.removeOverwritten(&record)
-	ageMs = notRetransmitted
-	if server.RetentionMs > 0 {
-		if earlier, ok := server.writes.find(f, &record, windowMs+server.RetentionMs); ok {
-			server.Metrics.Add(writesRejoined, 1)
-			ageMs = record.firstReceivedMs - earlier.firstReceivedMs
-			record = earlier
-			slog.Info(logevent.SFTPWriteRejoined, logevent.Client, f.handler.clientHost, logevent.Path, f.path,
-				logevent.Offset, offset, logevent.AgeMs, ageMs, logevent.UploadKey, record.uploadKey)
-		}
-	}
-	if record.uploadKey == "" {
-		record.uploadKey = newUploadKey()
-	}
-	if server.RetentionMs > 0 {
-		server.writes.add(f, record)
-	}
-	return record, ageMs
-}
-
-// removeOverwritten removes the failed writes that a new write overwrites. If the client sends one of them again, it must be
-// executed again. The caller holds f.mu.
-func (f *openFile) removeOverwritten(record *writeRecord) {
-	for offset, failed := range f.failedWrites {
-		if failed.overlaps(record) {
-			delete(f.failedWrites, offset)
-		}
-	}
-}
-
-// clientAndPath returns a key that identifies the client and the file.
-func (f *openFile) clientAndPath() string { return f.handler.clientHost + " " + f.path }
-
 // attachExchange makes the request of a WRITE part of an exchange, so that it shares one execution with its retransmissions.
 func (h *handler) attachExchange(request *lifecycle.Request, command *sftpwire.Command, ageMs float64) {
 	request.Device = &lifecycle.DeviceRequest{
--- a/internal/frontend/sftpserver/handler.go
+++ b/internal/frontend/sftpserver/handler.go
@@ -78,12 +78,39 @@
 	if r.Flags&^sftpwire.FlagRead != 0 {
 		command.UploadKey = newUploadKey()
 	}
-	if _, err := h.execute(r.Filepath, command, notRetransmitted); err != nil {
+	if err := h.executeOpen(r.Filepath, command); err != nil {
 		return nil, err
 	}
 	return newOpenFile(h, r.Filepath, r.Flags), nil
 }
 
+// executeOpen executes an OPEN. It records one that empties the file, since a WRITE like one from before it is not a retransmission.
+func (h *handler) executeOpen(filePath string, command *sftpwire.Command) error {
+	if !emptiesFile(command.Flags) {
+		_, err := h.execute(filePath, command, notRetransmitted)
+		return err
+	}
+	nowMs := h.server.Clock.NowMs()
+	opening := newEmptying(filePath, nowMs, nowMs+clock.Ms(h.server.WriteClass.Deadline))
+	h.server.history.beginEmptying(opening, h.server.retentionPeriods(), nowMs)
+	_, err := h.execute(filePath, command, notRetransmitted)
+	h.recordOutcome(opening, err)
+	return err
+}
+
+// recordOutcome records the outcome of a change from the result of its command.
+func (h *handler) recordOutcome(c *change, err error) {
+	nowMs := h.server.Clock.NowMs()
+	switch {
+	case err == nil:
+		h.server.history.end(c, changeSucceeded, nowMs)
+	case hadNoEffect(err):
+		h.server.history.cancel(c)
+	default:
+		h.server.history.end(c, changeUncertain, nowMs)
+	}
+}
+
 // execute submits a command on the file at filePath and waits for its response. If the command
 // retransmits a WRITE of another handle, ageMs is the time since that WRITE was first received; otherwise it is notRetransmitted.
 func (h *handler) execute(filePath string, command *sftpwire.Command, ageMs float64) (*sftpwire.Reply, error) {
@@ -102,7 +129,7 @@
 	request.Respond = func(response lifecycle.Response) { responses <- response }
 	if !server.Loop.Submit(request) {
 		server.Metrics.Add(frontend.RequestsInboxFull, 1)
-		return nil, busyError(frontend.InboxFullRetryAfterMs)
+		return nil, rejectedError{frontend.InboxFullRetryAfterMs}
 	}
 	return h.waitForResponse(request, responses)
 }
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -44,6 +44,7 @@
 	commandsTruncated   = "file_commands_truncated"
 	commandsMalformed   = "file_commands_malformed"
 	writesRejoined      = "file_writes_rejoined"
+	writesNotRejoined   = "file_writes_not_rejoined"
 )
 
 // Root assigns a directory and everything below it to a volume. The requests for its files count against that volume.
@@ -86,13 +87,23 @@
 	Metrics  *metrics.Registry
 
 	serving sync.WaitGroup // goroutines that run serveConn
-	writes  writeHistory
+	history fileHistory
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
 	draining bool
 }
 
+// retentionPeriods returns the times for which a WRITE can be recognized as a retransmission.
+func (s *Server) retentionPeriods() retentionPeriods {
+	windowMs := clock.Ms(s.WriteClass.DedupWindow)
+	periods := retentionPeriods{sameHandleMs: windowMs}
+	if s.RetentionMs > 0 {
+		periods.otherHandleMs = windowMs + s.RetentionMs
+	}
+	return periods
+}
+
 // Serve accepts connections until the listener is closed, and returns the listener's error.
 func (s *Server) Serve(listener net.Listener) error {
 	// netutil.LimitListener is not suitable: it hides the methods of *net.TCPConn that are needed to close only the sending
--- a/internal/logevent/event.go
+++ b/internal/logevent/event.go
@@ -35,9 +35,10 @@
 	AttemptStarted   = "attempt_started"
 	AttemptEnded     = "attempt_ended"
 
-	SFTPClientError   = "sftp_client_error"
-	SFTPWriteRejoined = "sftp_write_rejoined"
-	DeviceError       = "device_error"
+	SFTPClientError      = "sftp_client_error"
+	SFTPWriteRejoined    = "sftp_write_rejoined"
+	SFTPWriteNotRejoined = "sftp_write_not_rejoined"
+	DeviceError          = "device_error"
 
 	FleetMemberChanged    = "fleet_member_changed"
 	FleetIdentityConflict = "fleet_identity_conflict"
