Write all responses to file commands before the library learns of a shutdown

Callers see commands without a response and a connection that stays open until the gateway ends.

Cause: RequestServer of pkg/sftp ends its packet manager once the last handler has returned; that chooses at random between its end and the responses that it still holds in a channel. conn.waitForResponses then waited for responses that nobody writes. The trace of the hang has no goroutine of that packet manager.

Change: conn.Read returns the error that ends reading in a shutdown only after each received command has its response.

--- a/internal/frontend/sftpserver/conn.go
+++ b/internal/frontend/sftpserver/conn.go
@@ -109,9 +109,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.receivedCount = c.received.completePackets
-	// A client that closes its sending side is considered disconnected. During a drain, an error does not show a disconnect,
-	// because stopReading makes reads fail by an expired deadline.
-	if err != nil && !c.draining {
+	switch {
+	case err == nil:
+	case c.draining: // stopReading makes reads fail by an expired deadline, so the error does not show a disconnect
+		c.waitForResponsesLocked()
+	default: // a client that closes its sending side is considered disconnected
 		c.disconnectLocked()
 	}
 	return n, err
@@ -176,8 +178,8 @@
 	c.changed.Broadcast()
 }
 
-// stopReading ends reading from the client. Commands that were received completely are still answered, since RequestServer waits
-// for its workers.
+// stopReading ends reading from the client. Commands that were received completely are still answered, since Read returns its error
+// only after that.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,11 +187,10 @@
 	c.SetReadDeadline(time.Now())
 }
 
-// waitForResponses waits until the response to each completely received packet has been written, or the client has disconnected.
-// This is needed because RequestServer returns when its workers have ended, and its writer may still hold their responses.
-func (c *conn) waitForResponses() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// waitForResponsesLocked waits until the response to each completely received packet has been written, or the client has
+// disconnected. This is needed before the library learns that reading has ended: its writer then drops the responses that it still
+// holds. The caller holds c.mu.
+func (c *conn) waitForResponsesLocked() {
 	for !c.disconnected && c.sent.completePackets < c.receivedCount {
 		c.changed.Wait()
 	}
--- a/internal/frontend/sftpserver/conn_test.go
+++ b/internal/frontend/sftpserver/conn_test.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"gaugerelay/internal/clock"
+	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/sftpwire"
 )
 
@@ -78,3 +82,47 @@
 		})
 	}
 }
+
+// TestShutdownWritesAllResponses guards against a connection that hangs during a shutdown, since the library drops responses that it
+// has not written when reading ends. The client sends commands, and receives only after reading has ended.
+func TestShutdownWritesAllResponses(t *testing.T) {
+	const commands = 6 // the library holds up to 8 responses while its writer is blocked
+	synctest.Test(t, func(t *testing.T) {
+		loop := &recordingLoop{response: lifecycle.Response{Body: &sftpwire.Reply{}}}
+		server := &Server{Loop: loop, Clock: clock.NewManual(1e6), Metrics: metrics.New(),
+			Options: Options{UnitBytes: 1024, Shards: 1, MaxUnits: 6, Roots: []Root{{Path: "/", Plan: "basic"}}}}
+		client, accepted := net.Pipe()
+		server.serving.Add(1)
+		go server.serveConn(accepted)
+		packets := []byte{0, 0, 0, 5, 1, 0, 0, 0, 3} // INIT of version 3
+		for range commands {
+			packets = append(packets, 0, 0, 0, 11, 17, 0, 0, 0, 9, 0, 0, 0, 2, '/', 'f') // STAT of /f
+		}
+		if _, err := client.Write(packets); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		ended := make(chan struct{})
+		go func() {
+			server.Shutdown()
+			close(ended)
+		}()
+		synctest.Wait()
+		received := packetTracker{}
+		buffer := make([]byte, 1024)
+		for received.completePackets < 1+commands {
+			_ = client.SetReadDeadline(time.Now().Add(time.Minute))
+			n, err := client.Read(buffer)
+			if err != nil {
+				t.Errorf("received %d responses, then error %v; want VERSION and %d responses", received.completePackets, err, commands)
+				break
+			}
+			if err := received.advance(buffer[:n]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		client.Close()
+		server.Close()
+		<-ended
+	})
+}
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -160,7 +160,6 @@
 	}
 	err := sftp.NewRequestServer(c, sftp.Handlers{FileGet: h, FilePut: h, FileCmd: h, FileList: h},
 		sftp.WithRSMaxTxPacket(sftpwire.MaxData)).Serve()
-	c.waitForResponses()
 	s.reportConnEnd(c, err)
 }
 
