Store the first block of an upload that is begun again under another tag

Seen by devices: after blocks (t,0) and (t,64), the block (u,0) of another Request-Tag with the same bytes gets Continue, and the next one 4.08: the first was not stored. A body of one block that comes again under another tag gets 4.08 in place of its response.

Cause: exchange.Store.onBlock compares the block with the upload of the earlier tag, and uses the result after acceptPosition has dropped that upload. So the block counts as a repeat of one that is no longer there.

Change: the block is compared again once the position is accepted. A block that really is repeated is still not appended twice.

Result: TestUploadBegunAgain and TestUploadOfOneBlockBegunAgain failed before (0 bytes where 64 are acknowledged; incomplete in place of served).

--- a/internal/dedup/exchange/modelactions_test.go
+++ b/internal/dedup/exchange/modelactions_test.go
@@ -97,6 +97,10 @@
 		m.checkFinal(action, sent, exchange)
 	case ResponseRejected:
 		m.checkRejection(action, sent, exchange)
+	case ResponseContinue:
+		if end := sent.block.Offset + sent.block.Length; action.BufferedBytes < end {
+			m.fail("a block up to offset %d is acknowledged, but only %d bytes are stored", end, action.BufferedBytes)
+		}
 	case ResponseBusy, ResponseTooLate:
 		if sent.block != nil && sent.block.IsRetry && !sent.block.SameGateway && sent.class.Idempotency != scheduler.Idempotent {
 			m.fail("a request that may have been executed through another gateway is rejected")
--- a/internal/dedup/exchange/upload.go
+++ b/internal/dedup/exchange/upload.go
@@ -66,11 +66,11 @@
 	if exchange == nil {
 		return
 	}
-	match := exchange.upload.match(received)
-	if !s.acceptPosition(exchange, received, match) {
+	if !s.acceptPosition(exchange, received, exchange.upload.match(received)) {
 		return
 	}
-	if match != blockDuplicate && !s.appendBlock(exchange, received, mayHaveExecuted) {
+	// acceptPosition may have started a new upload, which does not have the block even if the earlier one had.
+	if exchange.upload.match(received) != blockDuplicate && !s.appendBlock(exchange, received, mayHaveExecuted) {
 		return
 	}
 	exchange.lastActivityMs = s.nowMs
--- a/internal/dedup/upload_test.go
+++ b/internal/dedup/upload_test.go
@@ -79,6 +79,52 @@
 	c.checkEmpty()
 }
 
+// TestUploadBegunAgain guards against a first block that is acknowledged and not stored, because it is taken for the repeat of the first
+// block of an earlier upload with another tag.
+func TestUploadBegunAgain(t *testing.T) {
+	c := newTestCoordinator(t, nil)
+	send := func(tag, body string, offset int, more bool) *sentTransmission {
+		return c.send("push", "k", body, block(lifecycle.Block{Tag: tag, Offset: offset, More: more, Total: -1}))
+	}
+	expectResponse(t, "first block", send("t", testBlock(0), 0, true), lifecycle.Continue, 64)
+	expectResponse(t, "second block", send("t", testBlock(1), 64, true), lifecycle.Continue, 128)
+	expectResponse(t, "same first block with another tag", send("u", testBlock(0), 0, true), lifecycle.Continue, 64)
+	expectResponse(t, "its repeat", send("u", testBlock(0), 0, true), lifecycle.Continue, 64)
+	expectResponse(t, "second block with another tag", send("u", testBlock(2), 64, true), lifecycle.Continue, 128)
+	last := send("u", "end", 128, false)
+	if len(c.executed) != 1 || !hasBody(c.executed[0], testBlock(0)+testBlock(2)+"end") {
+		t.Fatalf("got %d executions, want one with the body of the second upload", len(c.executed))
+	}
+	c.serve(c.executed[0], 0)
+	expectResponse(t, "last block", last, lifecycle.Served, 0)
+	expectResponse(t, "first block of a third upload", send("v", testBlock(0), 0, true), lifecycle.Continue, 64)
+	expectResponse(t, "second block of a third upload", send("v", testBlock(2), 64, true), lifecycle.Continue, 128)
+	expectResponse(t, "last block of a third upload", send("v", "end", 128, false), lifecycle.Served, 0)
+	if len(c.executed) != 1 {
+		t.Errorf("got %d executions, want 1", len(c.executed))
+	}
+	c.advance(20_000)
+	c.checkEmpty()
+}
+
+// TestUploadOfOneBlockBegunAgain guards against a body of one block that is not recognized when it comes again with another tag.
+func TestUploadOfOneBlockBegunAgain(t *testing.T) {
+	c := newTestCoordinator(t, nil)
+	send := func(tag string) *sentTransmission {
+		return c.send("push", "k", "end", block(lifecycle.Block{Tag: tag, Offset: 0, More: false, Total: -1}))
+	}
+	first := send("t")
+	again := send("u")
+	if len(c.executed) != 1 {
+		t.Fatalf("got %d executions, want 1", len(c.executed))
+	}
+	c.serve(c.executed[0], 0)
+	expectResponse(t, "first", first, lifecycle.Served, 0)
+	expectResponse(t, "again with another tag", again, lifecycle.Served, 0)
+	c.advance(20_000)
+	c.checkEmpty()
+}
+
 // An upload must be ended with an error if its announced size changes between blocks, if the announced size exceeds the limit, or
 // if the blocks exceed the announced size.
 func TestUploadSizes(t *testing.T) {
