Read a resent WRITE back where other gateways may have changed its file

Seen by callers: a client writes through one gateway, loses the connection, overwrites the range through another, fails over again and writes the first bytes anew. The first gateway takes this WRITE for a retransmission of its own and answers OK; the file keeps the other bytes. The same for a failed WRITE that is sent again on its handle: the server drops it by its key.

Hypotheses that fit: the answer was kept, or the server dropped the key; both end in OK without the bytes, and file_writes_restored counts either.

Change: where the root of the file names more than one gateway (hosts), a retransmission that was answered by OK is confirmed by a READ of its range, in the class and limits of READs and within the time of the WRITE. If the file has other bytes, the WRITE is executed as a new one. If the READ fails, the WRITE fails as one that may have taken effect. Where one gateway serves the root, nothing changes.

A retransmission of data that the file still has is answered and not executed again, also with short READs.

--- a/internal/frontend/sftpserver/file.go
+++ b/internal/frontend/sftpserver/file.go
@@ -1,11 +1,15 @@
 package sftpserver
 
 import (
+	"bytes"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 
+	"github.com/pkg/sftp"
+
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/logevent"
@@ -59,15 +63,62 @@
 	if kind == resentOnNewHandle {
 		ageMs = nowMs - earlier.firstReceivedMs
 	}
-	command := &sftpwire.Command{Op: sftpwire.OpWrite, Offset: uint64(offset), Data: data, UploadKey: write.uploadKey}
-	_, err := f.handler.execute(f.path, command, ageMs)
-	f.handler.recordOutcome(write, err)
+	err := f.executeWrite(write, data, ageMs)
+	if err == nil && (kind == resentOnNewHandle || kind == retriedOnHandle) {
+		err = f.confirmRetransmission(write, data)
+	}
 	if err != nil {
 		return 0, err
 	}
 	return len(data), nil
 }
 
+// executeWrite executes a WRITE and records its outcome.
+func (f *openFile) executeWrite(write *change, data []byte, ageMs float64) error {
+	command := &sftpwire.Command{Op: sftpwire.OpWrite, Offset: uint64(write.offset), Data: data, UploadKey: write.uploadKey}
+	_, err := f.handler.executeUntil(write.deadlineMs, f.path, command, ageMs)
+	f.handler.recordOutcome(write, err)
+	return err
+}
+
+// confirmRetransmission checks that a file has the data of a retransmission that was answered, if other gateways may have changed the
+// file since the first transmission. If it has not, the WRITE is executed as a new one. All of it has to end by the deadline of the
+// retransmission.
+func (f *openFile) confirmRetransmission(write *change, data []byte) error {
+	server := f.handler.server
+	if root := server.findRoot(f.path); root == nil || root.Gateways <= 1 {
+		return nil
+	}
+	unchanged, err := f.holds(data, write.offset, write.deadlineMs)
+	if err != nil || unchanged {
+		return err
+	}
+	server.Metrics.Add(writesRestored, 1)
+	nowMs := server.Clock.NowMs()
+	again := newWrite(f, data, write.offset, nowMs, write.deadlineMs)
+	server.history.beginNew(again, server.retentionPeriods(), nowMs)
+	return f.executeWrite(again, data, notRetransmitted)
+}
+
+// holds reports whether the file has the data at the offset. It returns errMayHaveExecuted if that cannot be found out by deadlineMs.
+func (f *openFile) holds(data []byte, offset int64, deadlineMs float64) (bool, error) {
+	for len(data) > 0 {
+		command := &sftpwire.Command{Op: sftpwire.OpRead, Offset: uint64(offset), Length: uint32(len(data))}
+		reply, err := f.handler.executeUntil(deadlineMs, f.path, command, notRetransmitted)
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, sftp.ErrSSHFxNoSuchFile):
+			return false, nil
+		case err != nil:
+			return false, errMayHaveExecuted
+		case len(reply.Data) == 0 || !bytes.HasPrefix(data, reply.Data):
+			return false, nil
+		}
+		data = data[len(reply.Data):] // a server may return less than it was asked for
+		offset += int64(len(reply.Data))
+	}
+	return true, nil
+}
+
 // reportRetransmission counts and logs a WRITE that retransmits one of another handle, or does not because the range may have changed
 // since that one.
 func (f *openFile) reportRetransmission(offset int64, earlier writeIdentity, kind retransmission, nowMs float64) {
--- a/internal/frontend/sftpserver/filehistory.go
+++ b/internal/frontend/sftpserver/filehistory.go
@@ -15,6 +15,9 @@
 // A retransmission has the upload key of the earlier WRITE, so that it gets the response to that WRITE, or is executed once with it.
 // A WRITE whose range may have been changed in between must be executed again, so it gets a new upload key. It does not matter who
 // changed the range: the same client or another one, by a WRITE of other data or by an OPEN that empties the file.
+//
+// Changes through another gateway are not recorded here. Where several gateways serve a file, a retransmission is only answered if the
+// file has its data; see openFile.confirmRetransmission.
 
 // maxRecordedChanges bounds the number of changes that a fileHistory holds for all files together, apart from those that may still
 // take effect.
@@ -71,14 +74,14 @@
 	return earlier, kind
 }
 
-// beginEmptying adds an OPEN that empties its file and was received at nowMs.
-func (h *fileHistory) beginEmptying(opening *change, periods retentionPeriods, nowMs float64) {
+// beginNew adds a change that begins at nowMs and is no retransmission: an OPEN, or a WRITE that is executed in any case.
+func (h *fileHistory) beginNew(c *change, periods retentionPeriods, nowMs float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.removeExpiredLocked(nowMs, periods.longestMs())
 	h.events++
-	opening.firstEvent = h.events
-	h.addLocked(opening, nowMs)
+	c.firstEvent = h.events
+	h.addLocked(c, nowMs)
 }
 
 // end records the outcome of a change whose response arrived at nowMs.
--- a/internal/frontend/sftpserver/filehistory_test.go
+++ b/internal/frontend/sftpserver/filehistory_test.go
@@ -316,7 +316,7 @@
 	resending := &openFile{handler: &handler{}, path: "f"}
 	periods := retentionPeriods{otherHandleMs: 1000}
 	opening := newEmptying("f", 0, 0)
-	history.beginEmptying(opening, periods, 0)
+	history.beginNew(opening, periods, 0)
 	write := newWrite(file, []byte{1}, 0, 0, 0)
 	history.beginWrite(write, periods, 0)
 	history.end(opening, changeSucceeded, 0) // while the WRITE is pending, so it may have emptied the file after the WRITE
--- a/internal/frontend/sftpserver/handler.go
+++ b/internal/frontend/sftpserver/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"os"
 	"path"
 	"time"
@@ -92,7 +93,7 @@
 	}
 	nowMs := h.server.Clock.NowMs()
 	opening := newEmptying(filePath, nowMs, nowMs+clock.Ms(h.server.WriteClass.Deadline))
-	h.server.history.beginEmptying(opening, h.server.retentionPeriods(), nowMs)
+	h.server.history.beginNew(opening, h.server.retentionPeriods(), nowMs)
 	_, err := h.execute(filePath, command, notRetransmitted)
 	h.recordOutcome(opening, err)
 	return err
@@ -111,15 +112,21 @@
 	}
 }
 
-// execute submits a command on the file at filePath and waits for its response. If the command
+// execute submits a command on the file at filePath and waits for its response, for as long as its class allows. If the command
 // retransmits a WRITE of another handle, ageMs is the time since that WRITE was first received; otherwise it is notRetransmitted.
 func (h *handler) execute(filePath string, command *sftpwire.Command, ageMs float64) (*sftpwire.Reply, error) {
+	return h.executeUntil(math.Inf(1), filePath, command, ageMs)
+}
+
+// executeUntil is execute with an earlier deadline.
+func (h *handler) executeUntil(deadlineMs float64, filePath string, command *sftpwire.Command, ageMs float64) (*sftpwire.Reply, error) {
 	server := h.server
 	request, err := server.newRequest(filePath, command)
 	if err != nil {
 		server.Metrics.Add(commandsMalformed, 1)
 		return nil, err
 	}
+	request.RemainingMs = min(request.RemainingMs, deadlineMs-server.Clock.NowMs())
 	if command.Op == sftpwire.OpWrite && server.RetentionMs > 0 {
 		h.attachExchange(request, command, ageMs)
 	} else {
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -45,6 +45,7 @@
 	commandsMalformed   = "file_commands_malformed"
 	writesRejoined      = "file_writes_rejoined"
 	writesNotRejoined   = "file_writes_not_rejoined"
+	writesRestored      = "file_writes_restored"
 )
 
 // Root assigns a directory and everything below it to a volume. The requests for its files count against that volume.
