Soak: clients that upload files, break off and begin anew, and a check of the files

The soak's file devices write each object once without truncation, and its checker counts executions and never compares what is stored; chaos and deployments send HTTP alone.

An uploader uploads its file of six chunks again and again, with one of two contents, breaks its connection between two commands or inside one, begins anew with or without truncation, and records whether the stored file has the content once each command succeeded (damaged_uploads, a violation). After a command without a response it waits until that can no longer take effect.

--- a/cmd/faultbench/soak.go
+++ b/cmd/faultbench/soak.go
@@ -40,6 +40,7 @@
 	Seconds  float64 `default:"60" help:"Duration of the run, in seconds."`
 	Seed     uint64  `default:"1" help:"Seed of devices, links and faults; the same seed gives the same ones."`
 	Devices  int     `default:"36" help:"Number of devices."`
+	Uploads  int     `default:"4" help:"Number of clients that upload files by file commands, break their connections and begin anew."`
 	Wires    string  `default:"chf" help:"Protocols of the devices, assigned in turn: c for CoAP, h for HTTP, f for file commands."`
 	Links    string  `default:"all" enum:"all,good,middling,bad" help:"Quality of the devices' links: all, good, middling or bad."`
 	Odd      float64 `default:"0.15" help:"Fraction of the exchanges in which a device misbehaves."`
@@ -65,8 +66,8 @@
 		baselineFraction = servedInTimeFraction(baseline)
 	}
 	printViolations(report.Violations)
-	fmt.Printf("exchanges=%d double_answers=%d unallowed_repeats=%d unanswered=%d served_in_time=%.4f baseline=%.4f\n",
-		report.Exchanges, report.DuplicateResponses, report.DisallowedRetries, report.MissingResponses, servedInTimeFraction(report), baselineFraction)
+	fmt.Printf("exchanges=%d double_answers=%d unallowed_repeats=%d unanswered=%d damaged_uploads=%d served_in_time=%.4f baseline=%.4f\n",
+		report.Exchanges, report.DuplicateResponses, report.DisallowedRetries, report.MissingResponses, report.DamagedUploads, servedInTimeFraction(report), baselineFraction)
 	return violationError(report.ViolationCount())
 }
 
@@ -87,7 +88,7 @@
 }
 
 func (c *soakCmd) options() soak.Options {
-	options := soak.Options{Duration: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed, Devices: c.Devices,
+	options := soak.Options{Duration: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed, Devices: c.Devices, Uploaders: c.Uploads,
 		Links: linkProfiles[c.Links], Protocols: c.Wires, Deduplication: true, QuirkRate: c.Odd, Network: gateway.SystemNetwork()}
 	if !c.Calm {
 		options.RestartInterval, options.ReplacementInterval, options.Faults = restartInterval, replacementInterval, serverFaults
@@ -105,6 +106,7 @@
 		r.Writes, r.Replacements, r.Restarts)
 	fmt.Printf("  duplicate responses %d, disallowed retries %d, without response %d, served but not executed %d, sends to draining servers %d, file writes executed again after a restart %d\n",
 		r.DuplicateResponses, r.DisallowedRetries, r.MissingResponses, r.LostWrites, r.SendsToDraining, r.RewritesAfterRestart)
+	fmt.Printf("  uploads of files %d, damaged %d\n", r.Uploads, r.DamagedUploads)
 	fmt.Printf("  served in time %.4f, by weight %.4f; executions per write %.3f; bytes sent per byte %.2f; time to the final response p50 %d ms, p99 %d ms\n",
 		servedInTimeFraction(r), r.WeightInTime/max(1, r.Weight), float64(r.WriteExecutions)/float64(max(1, r.Writes)),
 		float64(r.BytesSent)/float64(max(1, r.PayloadBytes)), r.Quantile(0.5).Milliseconds(), r.Quantile(0.99).Milliseconds())
--- a/internal/frontend/sftpserver/file.go
+++ b/internal/frontend/sftpserver/file.go
@@ -38,7 +38,7 @@
 		return 0, errNotReadable
 	}
 	command := &sftpwire.Command{Op: sftpwire.OpRead, Offset: uint64(offset), Length: uint32(len(data))}
-	reply, err := f.handler.execute(f.path, command, notRetransmitted)
+	reply, err := f.handler.execute(f.path, command)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/frontend/sftpserver/handler.go
+++ b/internal/frontend/sftpserver/handler.go
@@ -48,7 +48,7 @@
 	if r.Method != methodStat {
 		return nil, errNotSupported
 	}
-	reply, err := h.execute(r.Filepath, &sftpwire.Command{Op: sftpwire.OpStat}, notRetransmitted)
+	reply, err := h.execute(r.Filepath, &sftpwire.Command{Op: sftpwire.OpStat})
 	if err != nil {
 		return nil, err
 	}
@@ -88,13 +88,13 @@
 // executeOpen executes an OPEN. It records one that empties the file, since a WRITE like one from before it is not a retransmission.
 func (h *handler) executeOpen(filePath string, command *sftpwire.Command) error {
 	if !emptiesFile(command.Flags) {
-		_, err := h.execute(filePath, command, notRetransmitted)
+		_, err := h.execute(filePath, command)
 		return err
 	}
 	nowMs := h.server.Clock.NowMs()
 	opening := newEmptying(filePath, nowMs, nowMs+clock.Ms(h.server.WriteClass.Deadline))
 	h.server.history.beginNew(opening, h.server.retentionPeriods(), nowMs)
-	_, err := h.execute(filePath, command, notRetransmitted)
+	_, err := h.execute(filePath, command)
 	h.recordOutcome(opening, err)
 	return err
 }
@@ -112,13 +112,13 @@
 	}
 }
 
-// execute submits a command on the file at filePath and waits for its response, for as long as its class allows. If the command
-// retransmits a WRITE of another handle, ageMs is the time since that WRITE was first received; otherwise it is notRetransmitted.
-func (h *handler) execute(filePath string, command *sftpwire.Command, ageMs float64) (*sftpwire.Reply, error) {
-	return h.executeUntil(math.Inf(1), filePath, command, ageMs)
+// execute submits a command on the file at filePath and waits for its response, for as long as its class allows.
+func (h *handler) execute(filePath string, command *sftpwire.Command) (*sftpwire.Reply, error) {
+	return h.executeUntil(math.Inf(1), filePath, command, notRetransmitted)
 }
 
-// executeUntil is execute with an earlier deadline.
+// executeUntil is execute with an earlier deadline. If the command retransmits a WRITE of another handle, ageMs is the time since that
+// WRITE was first received; otherwise it is notRetransmitted.
 func (h *handler) executeUntil(deadlineMs float64, filePath string, command *sftpwire.Command, ageMs float64) (*sftpwire.Reply, error) {
 	server := h.server
 	request, err := server.newRequest(filePath, command)
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -84,6 +84,8 @@
 	exchanges   map[string]*exchangeRecord
 	ids         []string // IDs of the exchanges, in the order of their first records
 	incarnation int      // current incarnation of the gateway, counted from 0
+	uploads     int      // uploads whose commands all succeeded
+	damaged     []string // descriptions of the uploads among them whose file has other content
 }
 
 // New returns an empty checker.
@@ -124,6 +126,17 @@
 	c.incarnation++
 }
 
+// RecordUpload records an upload of a file whose commands all succeeded. damage describes how the stored file differs from it, and is
+// empty if it does not.
+func (c *Checker) RecordUpload(damage string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uploads++
+	if damage != "" {
+		c.damaged = append(c.damaged, damage)
+	}
+}
+
 // RecordBytesSent records bytes that a device has sent over its link for an exchange.
 func (c *Checker) RecordBytesSent(id string, bytes int) {
 	c.mu.Lock()
--- a/internal/testbed/invariants/result.go
+++ b/internal/testbed/invariants/result.go
@@ -19,8 +19,10 @@
 	DisallowedRetries  int // repeated executions of a write, if deduplication does not cover the repetition
 	MissingResponses   int // exchanges without a response by the deadline over a working link
 	LostWrites         int // writes that were served but never executed
+	DamagedUploads     int // uploads whose commands all succeeded, but whose file has other content
 	SendsToDraining    int // requests to a server more than 1 s after the gateway was notified that the server drains
 
+	Uploads              int // uploads of files whose commands all succeeded
 	ServedInTime         int
 	Weight               float64         // sum of the priority weights of all exchanges
 	WeightInTime         float64         // sum of the priority weights of the exchanges served in time
@@ -36,7 +38,7 @@
 
 // ViolationCount returns the number of violations of all kinds.
 func (r *Result) ViolationCount() int {
-	return r.DuplicateResponses + r.DisallowedRetries + r.MissingResponses + r.LostWrites + r.SendsToDraining
+	return r.DuplicateResponses + r.DisallowedRetries + r.MissingResponses + r.LostWrites + r.SendsToDraining + r.DamagedUploads
 }
 
 // Quantile returns the quantile q, in [0, 1], of the response times, or 0 if there are none.
@@ -55,6 +57,10 @@
 	for _, id := range c.ids {
 		r.addExchange(c.exchanges[id])
 	}
+	r.Uploads = c.uploads
+	for _, damage := range c.damaged {
+		r.addViolation(&r.DamagedUploads, "upload damaged: %s", damage)
+	}
 	slices.Sort(r.ResponseTimes)
 	return r
 }
--- a/internal/testbed/soak/servers.go
+++ b/internal/testbed/soak/servers.go
@@ -49,9 +49,11 @@
 	if c.Op != fakefileserver.OpWrite {
 		return nil
 	}
-	r.mu.Lock()
-	r.writeIncarnations[c.UploadKey] = r.incarnation
-	r.mu.Unlock()
+	if !isUpload(c.Path) {
+		r.mu.Lock()
+		r.writeIncarnations[c.UploadKey] = r.incarnation
+		r.mu.Unlock()
+	}
 	time.Sleep(serviceTime)
 	return nil
 }
@@ -60,7 +62,7 @@
 // retry, so a restarted gateway regards a retried write as a new one. The checker therefore allows that a later incarnation sends
 // the write again.
 func (r *run) recordFileWrite(shardIndex int, c fakefileserver.Command) {
-	if c.Op != fakefileserver.OpWrite {
+	if c.Op != fakefileserver.OpWrite || isUpload(c.Path) {
 		return
 	}
 	r.mu.Lock()
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -25,7 +25,9 @@
 	Duration time.Duration // time during which devices begin new exchanges
 	Seed     uint64
 	Devices  int
-	Links    []linkshaper.Profile // profiles of the links, assigned to the devices in turn
+	// Uploaders is the number of further clients, which upload files by file commands. They use no shaped links.
+	Uploaders int
+	Links     []linkshaper.Profile // profiles of the links, assigned to the devices in turn
 	// Deduplication says whether the gateway gets the operator's settings for devices, with which it deduplicates retransmissions.
 	// Without these settings, devices that would use CoAP or HTTP send HTTP requests without device headers to platformFrontend.
 	Deduplication       bool
@@ -117,6 +119,9 @@
 	for i := range r.options.Devices {
 		devices.Go(func() { r.runDevice(i, end) })
 	}
+	for i := range r.options.Uploaders {
+		devices.Go(func() { r.runUploader(i, end) })
+	}
 	stop := make(chan struct{})
 	faults.Go(func() { r.replaceServers(stop) })
 	faults.Go(func() { r.restartGateway(stop) })
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -69,7 +69,7 @@
 func TestSoak(t *testing.T) {
 	counts := map[string]int64{}
 	for _, seed := range soakSeeds() {
-		report := runInBubble(t, Options{Duration: 2 * time.Minute, Seed: seed, Devices: 36, Protocols: "chf", Deduplication: true,
+		report := runInBubble(t, Options{Duration: 2 * time.Minute, Seed: seed, Devices: 36, Uploaders: 4, Protocols: "chf", Deduplication: true,
 			Links: soakLinks(), Faults: serverFaults, QuirkRate: 0.2, ReplacementInterval: 15 * time.Second, RestartInterval: 40 * time.Second})
 		if report.ViolationCount() > 0 {
 			t.Errorf("seed %d: invariants violated: %+v", seed, report.Violations)
@@ -80,6 +80,8 @@
 		if report.Exchanges < 300 || report.ServedInTime < report.Exchanges/2 {
 			t.Errorf("seed %d: too few exchanges; want at least 300, and at least half of them served in time", seed)
 		}
+		t.Logf("seed %d: uploads=%d damaged=%d", seed, report.Uploads, report.DamagedUploads)
+		counts["uploads"] += int64(report.Uploads)
 		counts["drains"] += int64(report.Replacements)
 		counts["restarts"] += int64(report.Restarts)
 		for name, n := range report.Counters {
@@ -87,7 +89,8 @@
 		}
 	}
 	for _, name := range []string{"drains", "restarts", "device_copies_joined", "device_answers_kept", "device_conflicts",
-		"device_uploads", "device_doubt_failed", "file_writes_rejoined"} {
+		"device_uploads", "device_doubt_failed", "file_writes_rejoined",
+		"file_writes_not_rejoined", "uploads"} {
 		if counts[name] == 0 {
 			t.Errorf("counter %s is 0 after all runs, want at least 1", name)
 		}
