Find the end of responses in chunks, and reuse no connection without that end

Cause: responseFraming did not find the end of a body in chunks, so conn.response was never nil again. The pause before reuse, the check for unread data and the rejection of unsolicited data all ask for that, while http.Transport saw the end and reused the connection. Hypotheses: the checks do not apply; the copy comes after the pause; the copy is read with the response. The counter connections_unfinished shows it from now on. For the same reason such a connection was closed 250 ms after its first response, under whatever request it then carried.

Change: chunkedBody finds the end of chunks with extensions and trailers; responses without a body have none whatever their headers say; Transfer-Encoding before HTTP/1.1 is ignored, as net/http does. One rule in startRequest: a request begins on a connection only if its last response has been seen to end and nothing is unread; else another is used. Chaos sends every second response in chunks.

Result: on the code before, 6 subtests of TestUnsolicitedDataMakesConnectionStale and TestReuseDelayExcludesDuplicateResponse and TestUnfinishedResponseEndsConnectionReuse fail.

--- a/internal/testbed/chaos/server.go
+++ b/internal/testbed/chaos/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -233,7 +234,7 @@
 	}
 	time.Sleep(e.duration)
 	body := responsePrefix(a.id) + s.name
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	response := formatResponse(a.id, body)
 	switch {
 	case e.behavior == hang:
 		time.Sleep(s.untilBehaviorEnd())
@@ -261,6 +262,16 @@
 	return true
 }
 
+// formatResponse returns a response with the body. Every second one, by a hash of the request's ID, is sent in chunks.
+func formatResponse(id, body string) string {
+	sum := fnv.New32a()
+	_, _ = io.WriteString(sum, id) // a hash never returns an error
+	if sum.Sum32()%2 == 0 {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // untilBehaviorEnd returns the time until the server behaves normally again.
 func (s *server) untilBehaviorEnd() time.Duration {
 	s.mu.Lock()
--- a/internal/upstream/httpclient/client.go
+++ b/internal/upstream/httpclient/client.go
@@ -32,6 +32,7 @@
 	connectionsOpened      = "connections_opened"
 	connectionsCapped      = "connections_capped"
 	connectionsStale       = "connections_stale"
+	connectionsUnfinished  = "connections_unfinished"
 	serverResponsesInvalid = "server_responses_invalid"
 	serverHeadersInvalid   = "server_headers_invalid"
 	serverDataUnsolicited  = "server_data_unsolicited"
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -110,14 +110,19 @@
 }
 
 // startRequest records that bytes of a request are about to be written. It returns errConnStale if the connection can no longer
-// carry the request. attempt is nil for a probe.
+// carry the request: unread data has arrived, or the last response has not been seen to end. attempt is nil for a probe.
 func (c *conn) startRequest(attempt *attemptState) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	begins := attempt == nil || !attempt.started
+	if begins && c.response != nil { // the last response was not seen to end, so what comes next may belong to it
+		c.client.metrics.Add(connectionsUnfinished, 1)
+		c.unusable = true
+	}
 	// A server may respond before it has received the whole request. The rest may still be written, since that starts no new
 	// request.
-	continues := attempt != nil && attempt.started && !attempt.requestWritten.Load()
-	if c.response == nil && !continues {
+	continues := !begins && !attempt.requestWritten.Load()
+	if begins || c.response == nil && !continues {
 		if c.unusable || c.used && c.hasUnreadInput() {
 			c.unusable = true
 			if attempt != nil {
--- a/internal/upstream/httpclient/conn_test.go
+++ b/internal/upstream/httpclient/conn_test.go
@@ -15,14 +15,30 @@
 	"gaugerelay/internal/testbed"
 )
 
-const (
-	oldResponse = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
-	ownResponse = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nits"
-)
+// reusableFramings build a response with a body of three bytes after which a server leaves the connection open.
+var reusableFramings = map[string]func(body string) string{
+	"length": func(body string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body },
+	"chunks": func(body string) string {
+		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n" + body[:1] + "\r\n2\r\n" + body[1:] + "\r\n0\r\n\r\n"
+	},
+	"chunks and trailers": func(body string) string {
+		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n3\r\n" + body + "\r\n0\r\nA: b\r\n\r\n"
+	},
+	"after an interim response": func(body string) string {
+		return "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n" + body + "\r\n0\r\n\r\n"
+	},
+}
 
-// If unsolicited data arrives after http.Transport has returned the connection to its pool, it is detected before the next request
+// TestUnsolicitedDataMakesConnectionStale guards against a client that gets the response to another client's request. If unsolicited data arrives after http.Transport has returned the connection to its pool, it is detected before the next request
 // is written. The request is then sent on another connection, within the same attempt.
 func TestUnsolicitedDataMakesConnectionStale(t *testing.T) {
+	for name, response := range reusableFramings {
+		t.Run(name, func(t *testing.T) { checkUnsolicitedData(t, response("its"), response("old")) })
+	}
+}
+
+func checkUnsolicitedData(t *testing.T, ownResponse, oldResponse string) {
+	t.Helper()
 	var conns atomic.Int32
 	unsolicited := make(chan bool)
 	addr := testbed.Serve(t, func(c net.Conn) {
@@ -73,9 +89,16 @@
 	return stop
 }
 
-// A duplicate response that arrives when the next attempt already has the connection is not taken for the response to that
+// TestReuseDelayExcludesDuplicateResponse guards against the same. A duplicate response that arrives when the next attempt already has the connection is not taken for the response to that
 // attempt, because the attempt waits for the reuse delay before it writes its request.
 func TestReuseDelayExcludesDuplicateResponse(t *testing.T) {
+	for name, response := range reusableFramings {
+		t.Run(name, func(t *testing.T) { checkReuseDelay(t, response("its"), response("old")) })
+	}
+}
+
+func checkReuseDelay(t *testing.T, ownResponse, oldResponse string) {
+	t.Helper()
 	var conns atomic.Int32
 	sendDuplicate := make(chan bool, 1) // signaled when the next request has arrived, or its attempt waits for the reuse delay
 	written := make(chan bool, 1)
@@ -118,6 +141,63 @@
 	}
 }
 
+// TestUnfinishedResponseEndsConnectionReuse guards against a request on a connection whose last response has not been seen to end: what
+// comes next on it may belong to that response. http.Transport takes a folded Transfer-Encoding for chunks; responseFraming does not.
+func TestUnfinishedResponseEndsConnectionReuse(t *testing.T) {
+	var conns atomic.Int32
+	addr := testbed.Serve(t, func(c net.Conn) {
+		conns.Add(1)
+		in := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			testbed.TryWrite(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n chunked\r\n\r\n3\r\nits\r\n0\r\n\r\n")
+		}
+	})
+	c := newTestClient()
+	defer c.Close()
+	for i := range 2 {
+		c.Start(c.attemptAt(addr, getRequest()))
+		if result := <-c.results.attempts; result.Status != scheduler.StatusOK || string(result.Body.([]byte)) != "its" {
+			t.Fatalf("attempt %d: got %+v, want StatusOK and its body", i, result)
+		}
+	}
+	if conns.Load() != 2 || c.counters.Get(connectionsUnfinished) != 1 {
+		t.Errorf("got %d connections and %d unfinished ones, want 2 and 1", conns.Load(), c.counters.Get(connectionsUnfinished))
+	}
+}
+
+// TestConnectionIsReusedAfterEachFraming checks that a connection carries the next request after a complete response.
+func TestConnectionIsReusedAfterEachFraming(t *testing.T) {
+	for name, response := range reusableFramings {
+		t.Run(name, func(t *testing.T) {
+			var conns atomic.Int32
+			addr := testbed.Serve(t, func(c net.Conn) {
+				conns.Add(1)
+				in := bufio.NewReader(c)
+				for {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					testbed.TryWrite(c, response("its"))
+				}
+			})
+			c := newTestClient()
+			defer c.Close()
+			for i := range 5 {
+				c.Start(c.attemptAt(addr, getRequest()))
+				if result := <-c.results.attempts; result.Status != scheduler.StatusOK || string(result.Body.([]byte)) != "its" {
+					t.Fatalf("attempt %d: got %+v, want StatusOK and its body", i, result)
+				}
+			}
+			if conns.Load() != 1 {
+				t.Errorf("got %d connections for 5 attempts, want 1", conns.Load())
+			}
+		})
+	}
+}
+
 // A request that is answered before it was written completely is the last one on its connection. The server may send a second
 // response when it has the whole request, and that response would be taken for the response to the next request.
 func TestEarlyResponseEndsConnectionReuse(t *testing.T) {
--- a/internal/upstream/httpclient/framing.go
+++ b/internal/upstream/httpclient/framing.go
@@ -20,11 +20,14 @@
 
 // responseFraming finds the end of the response to one request. The zero value is ready for the first byte.
 type responseFraming struct {
-	head         []byte // bytes received of the head; nil once the head is complete
-	interimBytes int    // size of the heads of the interim (1xx) responses so far
-	inBody       bool   // the head of the final response is complete
-	bodyLeft     int    // bytes of the body still to be received; valid if inBody is set
-	endUnknown   bool   // the end of the body cannot be found, so the connection must not carry another request
+	head         []byte       // bytes received of the head; nil once the head is complete
+	interimBytes int          // size of the heads of the interim (1xx) responses so far
+	inBody       bool         // the head of the final response is complete
+	bodyLeft     int          // bytes of the body still to be received; valid if inBody is set and chunked is nil
+	chunked      *chunkedBody // end of a body in chunks; nil for another body
+	// endUnknown is set if the end of the body cannot be found. The response then never completes, so the connection does not carry
+	// another request.
+	endUnknown bool
 }
 
 // feed takes the next bytes that were read from a connection. It returns how many of them belong to the response, and whether
@@ -49,6 +52,10 @@
 	if f.endUnknown {
 		return len(p), false, nil
 	}
+	if f.chunked != nil {
+		bodyBytes, complete, err := f.chunked.feed(p[consumed:])
+		return consumed + bodyBytes, complete, err
+	}
 	bodyBytes := min(f.bodyLeft, len(p)-consumed)
 	f.bodyLeft -= bodyBytes
 	return consumed + bodyBytes, f.bodyLeft == 0, nil
@@ -60,12 +67,8 @@
 	if !bytes.Equal(f.head[:known], statusLinePrefix[:known]) {
 		return 0, errInvalidResponse
 	}
-	if end = bytes.Index(f.head, headTerminator); end >= 0 {
-		return end + len(headTerminator), nil
-	}
-	bareHeadTerminator := []byte("\n\n") // net/http accepts line feeds without carriage returns, too
-	if end = bytes.Index(f.head, bareHeadTerminator); end >= 0 {
-		return end + len(bareHeadTerminator), nil
+	if end = emptyLineEnd(f.head); end >= 0 {
+		return end, nil
 	}
 	if len(f.head)+f.interimBytes > maxHeadBytes {
 		return 0, errInvalidResponse
@@ -73,6 +76,23 @@
 	return -1, nil
 }
 
+// emptyLineEnd returns the position behind the first empty line, or a negative number if there is none. Like net/http, it accepts a
+// line feed without a carriage return.
+func emptyLineEnd(head []byte) int {
+	for start := 0; ; {
+		lineFeed := bytes.IndexByte(head[start:], '\n')
+		if lineFeed < 0 {
+			return -1
+		}
+		start += lineFeed + 1
+		for _, emptyLine := range []string{"\n", "\r\n"} {
+			if bytes.HasPrefix(head[start:], []byte(emptyLine)) {
+				return start + len(emptyLine)
+			}
+		}
+	}
+}
+
 // parseHead parses a complete head to find the end of the body. Other errors in the head are left to the transport, which
 // parses it again.
 func (f *responseFraming) parseHead(head []byte) error {
@@ -93,10 +113,13 @@
 			return err
 		}
 	}
+	if strings.HasPrefix(lines[0], "HTTP/1.0") { // Transfer-Encoding was introduced by HTTP/1.1, and net/http ignores it before that
+		f.chunked, f.endUnknown = nil, false
+	}
 	if code == http.StatusNoContent || code == http.StatusNotModified {
-		f.bodyLeft = 0
+		f.bodyLeft, f.chunked, f.endUnknown = 0, nil, false
 	}
-	f.endUnknown = f.endUnknown || f.bodyLeft < 0
+	f.endUnknown = f.endUnknown || f.chunked == nil && f.bodyLeft < 0
 	return nil
 }
 
@@ -118,7 +141,8 @@
 	name, value, _ := strings.Cut(line, ":")
 	switch value = strings.TrimSpace(value); {
 	case strings.EqualFold(name, "Transfer-Encoding"):
-		f.endUnknown = true
+		f.endUnknown = f.chunked != nil || !strings.EqualFold(value, "chunked") // net/http supports only one coding, chunked
+		f.chunked = &chunkedBody{}
 	case strings.EqualFold(name, "Content-Length"):
 		length, err := strconv.ParseUint(value, 10, 63)
 		// A body above the size limit is rejected before it is read.
