Let probes wait for the pause before a connection is reused

Cause: conn.attempt keeps the last attempt of a connection, and a probe on it did not replace it. Its bytes counted as a part of that attempt, so the pause before reuse did not apply.

Change: the connection forgets the attempt when the transport gives it to a probe. Then the probe waits, and the transport sends it on another connection if a copy has come (nothing was written, so that is no repeat).

--- a/internal/upstream/httpclient/conn_test.go
+++ b/internal/upstream/httpclient/conn_test.go
@@ -141,6 +141,48 @@
 	}
 }
 
+// TestReuseDelayAppliesToProbes guards against a probe that is written right after the response to an attempt: a duplicate of that is
+// taken for the response to the probe, and the response to the probe for that of the next attempt.
+func TestReuseDelayAppliesToProbes(t *testing.T) {
+	var conns atomic.Int32
+	duplicateWritten := make(chan bool)
+	proceed := make(chan bool, 1) // signaled when the probe waits for the reuse delay, or has arrived
+	addr := testbed.Serve(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		first := conns.Add(1) == 1
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			testbed.TryWrite(c, reusableFramings["length"]("its"))
+			if first {
+				go func() {
+					if _, err := in.Peek(1); err == nil {
+						proceed <- true
+					}
+				}()
+				<-proceed
+				testbed.TryWrite(c, reusableFramings["length"]("old"))
+				duplicateWritten <- true
+				return
+			}
+		}
+	})
+	c := newTestClient()
+	c.clock, c.options.ReuseDelayMs = timerObserver{c.now, proceed}, 5
+	defer c.Close()
+	c.Start(c.attemptAt(addr, getRequest()))
+	if result := <-c.results.attempts; result.Status != scheduler.StatusOK {
+		t.Fatalf("the attempt: got %+v, want StatusOK", result)
+	}
+	c.Probe(&lifecycle.Server{Addr: addr})
+	<-duplicateWritten
+	c.now.Advance(5)
+	if status := <-c.results.probes; status != scheduler.StatusOK || conns.Load() != 2 {
+		t.Errorf("the probe: got status %v over %d connections, want StatusOK over a second one", status, conns.Load())
+	}
+}
+
 // TestUnfinishedResponseEndsConnectionReuse guards against a request on a connection whose last response has not been seen to end: what
 // comes next on it may belong to that response. http.Transport takes a folded Transfer-Encoding for chunks; responseFraming does not.
 func TestUnfinishedResponseEndsConnectionReuse(t *testing.T) {
--- a/internal/upstream/httpclient/probe.go
+++ b/internal/upstream/httpclient/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"gaugerelay/internal/httpmessage"
@@ -38,7 +39,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Addr+path, nil)
+	request, err := http.NewRequestWithContext(withoutAttempt(ctx), http.MethodGet, "http://"+server.Addr+path, nil)
 	if err != nil {
 		return scheduler.StatusConnectFailed, nil
 	}
@@ -59,3 +60,11 @@
 	}
 	return scheduler.StatusOK, report
 }
+
+// withoutAttempt returns a context for a request that belongs to no attempt. The connection that the transport chooses may have carried
+// an attempt, and forgets it.
+func withoutAttempt(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*conn).attempt.Store(nil) },
+	})
+}
