Rest connections longer for servers that have sent unsolicited data

Cause: a second copy that comes later than the pause of 5 ms, after the next request was written, is taken for that one's response.

Change: for 30 s after a server has sent data that no request awaited, requests wait for 15 ms after a response on each of its connections. The counter server_data_unsolicited now also counts data that is found unread before a request is written.

--- a/internal/upstream/httpclient/client.go
+++ b/internal/upstream/httpclient/client.go
@@ -55,7 +55,8 @@
 	// LoadReportFields names the fields of a load report in the order of lifecycle.AttemptResult.LoadReport. If it is
 	// empty, probes request the server's health and no load report.
 	LoadReportFields []string
-	// ReuseDelayMs is the minimum time between the end of a response and the next request on the same connection.
+	// ReuseDelayMs is the minimum time between the end of a response and the next request on the same connection. It is longer for
+	// servers that have recently sent unsolicited data.
 	ReuseDelayMs float64
 	// Dial opens connections. If it is nil, the network of this machine is used.
 	Dial upstream.DialFunc
@@ -78,6 +79,8 @@
 	results   ResultHandler
 	transport *http.Transport
 	openConns atomic.Int64
+
+	unsolicited unsolicitedSenders
 }
 
 // New returns a Client that reports to results.
@@ -120,5 +123,5 @@
 		return nil, err
 	}
 	c.metrics.Add(connectionsOpened, 1)
-	return &conn{Conn: netConn, client: c}, nil
+	return &conn{Conn: netConn, client: c, addr: addr}, nil
 }
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -34,6 +34,7 @@
 type conn struct {
 	net.Conn
 	client  *Client
+	addr    string                       // address of the server
 	attempt atomic.Pointer[attemptState] // current attempt; nil for a probe
 	closed  atomic.Bool
 
@@ -123,7 +124,7 @@
 	// request.
 	continues := !begins && !attempt.requestWritten.Load()
 	if begins || c.response == nil && !continues {
-		if c.unusable || c.used && c.hasUnreadInput() {
+		if c.unusable || c.used && c.checkUnreadInput() {
 			c.unusable = true
 			if attempt != nil {
 				attempt.connStale.Store(true)
@@ -145,7 +146,8 @@
 	c.mu.Lock()
 	waitMs := 0.0
 	if c.used && c.response == nil && !c.unusable {
-		waitMs = c.lastResponseMs + c.client.options.ReuseDelayMs - c.client.clock.NowMs()
+		nowMs := c.client.clock.NowMs()
+		waitMs = c.lastResponseMs + c.client.options.ReuseDelayMs*c.client.unsolicited.delayFactor(c.addr, nowMs) - nowMs
 	}
 	c.mu.Unlock()
 	if waitMs > 0 {
@@ -154,12 +156,21 @@
 	}
 }
 
-// hasUnreadInput reports whether unread data has arrived or the connection has ended.
-func (c *conn) hasUnreadInput() bool {
+// checkUnreadInput reports whether unread data has arrived, which it records, or the connection has ended.
+func (c *conn) checkUnreadInput() bool {
 	hasData, err := socketstate.HasUnreadData(c.Conn)
+	if hasData {
+		c.recordUnsolicited()
+	}
 	return hasData || err != nil
 }
 
+// recordUnsolicited counts data that no request awaited.
+func (c *conn) recordUnsolicited() {
+	c.client.metrics.Add(serverDataUnsolicited, 1)
+	c.client.unsolicited.record(c.addr, c.client.clock.NowMs())
+}
+
 // Read returns bytes of the awaited response.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.readAndCheck(p)
@@ -196,7 +207,7 @@
 		c.response, c.lastResponseMs = nil, c.client.clock.NowMs()
 		c.stopResponseTimeout()
 		if n < len(p) {
-			c.client.metrics.Add(serverDataUnsolicited, 1)
+			c.recordUnsolicited()
 			c.unusable = true
 		}
 		// A request that was answered before it was written completely may be answered a second time. No other
@@ -251,7 +262,7 @@
 // rejectUnsolicited marks the connection as unusable if data has arrived that no request awaits. The caller holds c.mu.
 func (c *conn) rejectUnsolicited() {
 	if c.response == nil && !c.unusable {
-		c.client.metrics.Add(serverDataUnsolicited, 1)
+		c.recordUnsolicited()
 		c.unusable = true
 	}
 }
