Do not renew the endpoint lease by failed calls after a silent watch

Requests reach the server up to 3.7 s after the drain counted as notified, in a long outage for as long as it lasts.

Cause: each call that is refused in the outage renews the lease of the endpoint list as of its own start, as if nothing had been missed before. It proves that nothing new is missed. Hypotheses: that; the drain arrived and was not applied; attempts that started late. No message is in discovery's record after the silence, the requests go on for seconds, and the watch ended 2.2 s after its last message. The log could not tell that; discovery_call_failed has the field silent now.

Change: a watch that ends while a heartbeat is overdue, or as idle, is reported as silent. The lease then stays at the last message until discovery has sent the list again; failed calls no longer renew it. A watch that ends in time costs nothing.

Not mended: a watch that falls silent and ends before its next heartbeat is due.

--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -40,10 +40,11 @@
 	mode      watchMode
 	onMessage func() // function that is called for each object and each heartbeat
 
-	startedMs float64 // time at which the request was sent
-	responded bool    // whether a response with status 200 has begun
-	updated   bool    // whether an update was applied; an empty snapshot counts
-	parser    fastjson.Parser
+	startedMs     float64 // time at which the request was sent
+	responded     bool    // whether a response with status 200 has begun
+	updated       bool    // whether an update was applied; an empty snapshot counts
+	lastMessageMs float64 // time at which the latest object or heartbeat was received; 0: none
+	parser        fastjson.Parser
 }
 
 // confirmed reports whether a message received at atMs proves that the gateway has received all changes made before atMs.
@@ -65,20 +66,26 @@
 func (s *watchSession) endUpdate(nowMs float64, err error) lifecycle.EndpointUpdate {
 	switch {
 	case s.responded && errors.Is(err, errWatchIdle):
-		return lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle}
+		return lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Silent: true}
 	case s.responded && s.confirmed(nowMs):
-		return lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed}
+		return lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Silent: s.silent(nowMs)}
 	}
 	return lifecycle.EndpointUpdate{Kind: scheduler.WatchFailed, CompleteAsOfMs: s.startedMs, Failure: callFailure(err)}
 }
 
+// silent reports whether a heartbeat is overdue at nowMs. A watch may fall silent before its connection ends, and then misses changes.
+// One that falls silent and ends between two heartbeats cannot be told from a healthy one.
+func (s *watchSession) silent(nowMs float64) bool {
+	return nowMs-max(s.startedMs, s.lastMessageMs) > heartbeatIntervalMs
+}
+
 // logEnd logs the error with which a call failed, or with which the watch that it opened has ended.
 func (w *Watcher) logEnd(session *watchSession, err error) {
 	w.mu.Lock()
 	version := w.version
 	w.mu.Unlock()
 	slog.Warn(logevent.DiscoveryCallFailed, logevent.Error, err, logevent.TookMs, w.clock.NowMs()-session.startedMs,
-		"answered", session.responded, logevent.Version, version)
+		"answered", session.responded, "silent", session.responded && session.silent(w.clock.NowMs()), logevent.Version, version)
 }
 
 // idleTimer cancels a watch with errWatchIdle unless reset or close is called before the timeout of the latest reset has passed.
@@ -150,6 +157,7 @@
 		idle.reset(idleTimeoutMs)
 		session.onMessage()
 		receivedMs := w.received.lastReadStartedMs()
+		session.lastMessageMs = receivedMs
 		if object == nil {
 			w.handleHeartbeat(session, receivedMs)
 			continue
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -101,6 +101,36 @@
 	}
 }
 
+// TestSilentWatch checks that a watch which ends while a heartbeat is overdue is reported as silent. It guards against a gateway that
+// misses a change on a silent watch and goes on using its list because discovery then refuses its calls.
+func TestSilentWatch(t *testing.T) {
+	for name, c := range map[string]struct {
+		sinceMessageMs float64 // time from the latest message to the end of the watch
+		want           bool
+	}{
+		"ends after an update":               {0, false},
+		"ends before the heartbeat is due":   {heartbeatIntervalMs, false},
+		"ends when the heartbeat is overdue": {heartbeatIntervalMs + 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, feed, queries := newLineServer(t)
+			updates := make(chan lifecycle.EndpointUpdate, 10)
+			manualClock := clock.NewManual(1e12)
+			watcher := New(Options{Addr: addr, Clock: manualClock, Metrics: metrics.New(),
+				Notify: func(update lifecycle.EndpointUpdate) { updates <- update }})
+			watcher.Open(t.Context())
+			<-queries
+			feed <- `{"version":1,"full":true,"servers":[]}`
+			<-updates
+			manualClock.Advance(c.sinceMessageMs)
+			feed <- endResponse
+			if update := <-updates; update.Kind != scheduler.WatchClosed || update.Silent != c.want {
+				t.Errorf("update %+v, want kind WatchClosed with Silent %v", update, c.want)
+			}
+		})
+	}
+}
+
 // TestFailedCalls checks that a response with an error status and a refused connection are reported.
 func TestFailedCalls(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
--- a/internal/endpointlease/lease.go
+++ b/internal/endpointlease/lease.go
@@ -6,6 +6,9 @@
 // as one of its servers drains. The list is therefore used under a lease. The lease starts at the last time at which the gateway
 // is known to have missed no change, and expires when the gateway would have to obey a change that was made right after that time.
 //
+// While discovery is unreachable, the gateway cannot be notified of changes, so calls that fail renew the lease. They do not after a
+// watch that was silent: what it missed counts from its silence on, whether or not discovery is reachable.
+//
 // Package endpointlease owns no goroutine, performs no I/O and reads no clock. All times are in milliseconds on one clock
 // that never runs backwards.
 package endpointlease
@@ -28,6 +31,7 @@
 type Lease struct {
 	settings     Settings
 	completeAtMs float64 // the list contains every change made before this time
+	silentWatch  bool    // whether the last watch was silent, so that the list may lack changes made while discovery was reachable
 	congested    bool    // whether the last call that got a response is assumed to have waited for the calls of other gateways
 }
 
@@ -36,9 +40,16 @@
 	return &Lease{settings: settings, completeAtMs: nowMs}
 }
 
-// Renew records that the list was complete at atMs, because discovery sent an update or a heartbeat on an open watch then. It has
-// no effect if a renewal for a later time was recorded.
-func (l *Lease) Renew(atMs float64) { l.completeAtMs = max(l.completeAtMs, atMs) }
+// Renew records that the list was complete at atMs, because discovery sent an update or a heartbeat on an open watch then. It does
+// not shorten the lease if a renewal for a later time was recorded.
+func (l *Lease) Renew(atMs float64) {
+	l.silentWatch = false
+	l.completeAtMs = max(l.completeAtMs, atMs)
+}
+
+// RecordSilentWatch records that a watch sent nothing for longer than a healthy one before it ended. It may have missed changes since
+// the last renewal. Until the next one, failed calls do not renew the lease.
+func (l *Lease) RecordSilentWatch() { l.silentWatch = true }
 
 // RecordCallLatency records how long discovery took to respond to a call. A long latency indicates congestion.
 func (l *Lease) RecordCallLatency(latencyMs float64) {
@@ -47,7 +58,7 @@
 
 // RecordUnreachable renews the lease as of startedMs, the start of a call that could not connect. Discovery was unreachable then,
 // so the time by which the gateway must have been notified of a missed change counts from a later moment.
-func (l *Lease) RecordUnreachable(startedMs float64) { l.Renew(startedMs) }
+func (l *Lease) RecordUnreachable(startedMs float64) { l.renewByFailure(startedMs) }
 
 // RecordRejection records that discovery rejected or interrupted a call that started at startedMs. Discovery rejects calls while
 // it is down. A rejection then renews the lease, as RecordUnreachable does. Discovery also rejects calls while it gets too many
@@ -55,7 +66,14 @@
 // assumed if the last call that got a response indicated congestion.
 func (l *Lease) RecordRejection(startedMs float64) {
 	if !l.congested {
-		l.Renew(startedMs)
+		l.renewByFailure(startedMs)
+	}
+}
+
+// renewByFailure renews the lease as of startedMs, unless the list may lack changes from before discovery became unreachable.
+func (l *Lease) renewByFailure(startedMs float64) {
+	if !l.silentWatch {
+		l.completeAtMs = max(l.completeAtMs, startedMs)
 	}
 }
 
--- a/internal/endpointlease/lease_test.go
+++ b/internal/endpointlease/lease_test.go
@@ -26,6 +26,19 @@
 		{"unreachable under congestion", func(l *Lease) { l.RecordCallLatency(1000); l.RecordUnreachable(4000) }, 4000 + leaseMs},
 		{"rejected after congestion", func(l *Lease) { l.RecordCallLatency(1900); l.RecordCallLatency(8); l.RecordRejection(4000) },
 			4000 + leaseMs},
+		{"rejected after a silent watch", func(l *Lease) { l.Renew(1000); l.RecordSilentWatch(); l.RecordRejection(4000) }, 1000 + leaseMs},
+		{"unreachable after a silent watch", func(l *Lease) { l.Renew(1000); l.RecordSilentWatch(); l.RecordUnreachable(4000) },
+			1000 + leaseMs},
+		{"rejected, then unreachable after a silent watch", func(l *Lease) {
+			l.Renew(1000)
+			l.RecordSilentWatch()
+			l.RecordRejection(4000)
+			l.RecordUnreachable(9000)
+		}, 1000 + leaseMs},
+		{"rejected before the silence", func(l *Lease) { l.RecordRejection(4000); l.RecordSilentWatch() }, 4000 + leaseMs},
+		{"list after a silent watch", func(l *Lease) { l.Renew(1000); l.RecordSilentWatch(); l.Renew(9000) }, 9000 + leaseMs},
+		{"rejected after the list after a silent watch",
+			func(l *Lease) { l.RecordSilentWatch(); l.Renew(9000); l.RecordRejection(12000) }, 12000 + leaseMs},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			lease := New(testSettings, 0)
--- a/internal/lifecycle/endpoints.go
+++ b/internal/lifecycle/endpoints.go
@@ -23,6 +23,9 @@
 	CallDurationMs float64
 	// Failure classifies the failed call. It is set if Kind is scheduler.WatchFailed.
 	Failure CallFailure
+	// Silent reports that a heartbeat was overdue when the watch ended, so that the watch may have missed changes. It is set if Kind is
+	// scheduler.WatchIdle, and may be set if it is scheduler.WatchClosed.
+	Silent bool
 }
 
 // CallFailure classifies a failed call to discovery by what the failure proves about the state of discovery.
@@ -172,6 +175,9 @@
 	case scheduler.WatchFailed:
 		m.recordCallFailure(update)
 	}
+	if update.Silent {
+		m.endpointLease.RecordSilentWatch()
+	}
 	m.authorizer.SetEndpointsValidUntilMs(m.endpointLease.ExpiresAtMs())
 }
 
--- a/internal/lifecycle/endpoints_test.go
+++ b/internal/lifecycle/endpoints_test.go
@@ -3,11 +3,46 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"gaugerelay/internal/endpointlease"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/scheduler"
 )
 
+// TestSilentWatchKeepsLease guards against a list that stays in use because discovery refuses calls, although a silent watch has missed
+// changes before. After a watch that was not silent, such calls renew the lease.
+func TestSilentWatchKeepsLease(t *testing.T) {
+	const lastMessageMs, failedCallMs, leaseMs = 1000, 4000, 6000
+	for name, c := range map[string]struct {
+		end     lifecycle.EndpointUpdate
+		failure lifecycle.CallFailure
+		wantMs  float64
+	}{
+		"healthy, then rejected":    {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed}, lifecycle.CallRejected, failedCallMs + leaseMs},
+		"silent, then rejected":     {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Silent: true}, lifecycle.CallRejected, lastMessageMs + leaseMs},
+		"silent, then unreachable":  {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Silent: true}, lifecycle.CallUnreachable, lastMessageMs + leaseMs},
+		"idle, then rejected":       {lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Silent: true}, lifecycle.CallRejected, lastMessageMs + leaseMs},
+		"idle, then without result": {lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Silent: true}, lifecycle.CallInconclusive, lastMessageMs + leaseMs},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fakeScheduler := &scriptedScheduler{}
+			lease := endpointlease.New(endpointlease.Settings{MaxNotificationDelayMs: leaseMs}, 0)
+			manager := lifecycle.New(lifecycle.Options{Scheduler: fakeScheduler, Environment: fakeEnvironment{}, EndpointLease: lease})
+			list := snapshot(scheduler.Ready)
+			list.CompleteAsOfMs = lastMessageMs
+			manager.UpdateEndpoints(list)
+			manager.UpdateEndpoints(c.end)
+			manager.UpdateEndpoints(lifecycle.EndpointUpdate{Kind: scheduler.WatchFailed, CompleteAsOfMs: failedCallMs, Failure: c.failure})
+			manager.Step(failedCallMs)
+			last := fakeScheduler.events[len(fakeScheduler.events)-1].(scheduler.EndpointUpdate)
+			if want := time.Duration(c.wantMs) * time.Millisecond; last.ValidUntil != want {
+				t.Errorf("the list is valid until %v, want %v", last.ValidUntil, want)
+			}
+		})
+	}
+}
+
 // An upstream that has not sent an attempt yet must find out that the server is draining, has moved or was removed.
 func TestServerIsClosedByUpdates(t *testing.T) {
 	for name, change := range map[string]lifecycle.EndpointUpdate{
