Keep a silent watch's mark until a renewal that is confirmed

Cause: an update of a watch that is not confirmed yet renews the lease as of 0. It also cleared the mark that the earlier watch was silent, so that a later refused call could renew the lease again.

Change: only a renewal that lengthens the lease clears the mark.

Result: a case of TestExpiry, which fails with the code before (lease renewed to 4,000 ms); lifecycle and endpointlease pass.

--- a/internal/endpointlease/lease.go
+++ b/internal/endpointlease/lease.go
@@ -43,8 +43,9 @@
 // Renew records that the list was complete at atMs, because discovery sent an update or a heartbeat on an open watch then. It does
 // not shorten the lease if a renewal for a later time was recorded.
 func (l *Lease) Renew(atMs float64) {
-	l.silentWatch = false
-	l.completeAtMs = max(l.completeAtMs, atMs)
+	if atMs > l.completeAtMs {
+		l.completeAtMs, l.silentWatch = atMs, false
+	}
 }
 
 // RecordSilentWatch records that a watch sent nothing for longer than a healthy one before it ended. It may have missed changes since
--- a/internal/endpointlease/lease_test.go
+++ b/internal/endpointlease/lease_test.go
@@ -36,6 +36,8 @@
 			l.RecordUnreachable(9000)
 		}, 1000 + leaseMs},
 		{"rejected before the silence", func(l *Lease) { l.RecordRejection(4000); l.RecordSilentWatch() }, 4000 + leaseMs},
+		{"unconfirmed update after a silent watch",
+			func(l *Lease) { l.Renew(1000); l.RecordSilentWatch(); l.Renew(0); l.RecordRejection(4000) }, 1000 + leaseMs},
 		{"list after a silent watch", func(l *Lease) { l.Renew(1000); l.RecordSilentWatch(); l.Renew(9000) }, 9000 + leaseMs},
 		{"rejected after the list after a silent watch",
 			func(l *Lease) { l.RecordSilentWatch(); l.Renew(9000); l.RecordRejection(12000) }, 12000 + leaseMs},
