Report a silent watch as a CallFailure, not by a field of EndpointUpdate

Change: WatchSilent is a value of EndpointUpdate.Failure, which had no meaning at the end of a watch. TestEnumerationNames covers the new value and expects "unknown" behind it.

--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -66,9 +66,11 @@
 func (s *watchSession) endUpdate(nowMs float64, err error) lifecycle.EndpointUpdate {
 	switch {
 	case s.responded && errors.Is(err, errWatchIdle):
-		return lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Silent: true}
+		return lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Failure: lifecycle.WatchSilent}
+	case s.responded && s.confirmed(nowMs) && s.silent(nowMs):
+		return lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Failure: lifecycle.WatchSilent}
 	case s.responded && s.confirmed(nowMs):
-		return lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Silent: s.silent(nowMs)}
+		return lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed}
 	}
 	return lifecycle.EndpointUpdate{Kind: scheduler.WatchFailed, CompleteAsOfMs: s.startedMs, Failure: callFailure(err)}
 }
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -124,8 +124,8 @@
 			<-updates
 			manualClock.Advance(c.sinceMessageMs)
 			feed <- endResponse
-			if update := <-updates; update.Kind != scheduler.WatchClosed || update.Silent != c.want {
-				t.Errorf("update %+v, want kind WatchClosed with Silent %v", update, c.want)
+			if update := <-updates; update.Kind != scheduler.WatchClosed || (update.Failure == lifecycle.WatchSilent) != c.want {
+				t.Errorf("update %+v, want kind WatchClosed, silent: %v", update, c.want)
 			}
 		})
 	}
--- a/internal/lifecycle/endpoints.go
+++ b/internal/lifecycle/endpoints.go
@@ -21,14 +21,12 @@
 	CompleteAsOfMs float64
 	// CallDurationMs is how long discovery took to respond to a call. It is set in the first update of a call only.
 	CallDurationMs float64
-	// Failure classifies the failed call. It is set if Kind is scheduler.WatchFailed.
+	// Failure classifies the failed call if Kind is scheduler.WatchFailed. If Kind is scheduler.WatchIdle or scheduler.WatchClosed, only
+	// WatchSilent has a meaning.
 	Failure CallFailure
-	// Silent reports that a heartbeat was overdue when the watch ended, so that the watch may have missed changes. It is set if Kind is
-	// scheduler.WatchIdle, and may be set if it is scheduler.WatchClosed.
-	Silent bool
 }
 
-// CallFailure classifies a failed call to discovery by what the failure proves about the state of discovery.
+// CallFailure classifies a failed call to discovery, or the end of a watch, by what it proves about discovery and the list.
 type CallFailure uint8
 
 // The kinds of failure.
@@ -40,6 +38,8 @@
 	// CallInconclusive means that the failure does not prove that discovery is down: the call failed on this machine, timed out, or
 	// ended because discovery had restarted its version numbers.
 	CallInconclusive
+	// WatchSilent means that a heartbeat was overdue when the watch ended, so that the watch may have missed changes.
+	WatchSilent
 
 	callFailureCount = iota
 )
@@ -49,6 +49,7 @@
 	CallRejected:     "rejected",
 	CallUnreachable:  "unreachable",
 	CallInconclusive: "inconclusive",
+	WatchSilent:      "silent watch",
 }
 
 // String returns the name of the failure, and "unknown" for other values.
@@ -175,7 +176,7 @@
 	case scheduler.WatchFailed:
 		m.recordCallFailure(update)
 	}
-	if update.Silent {
+	if update.Failure == WatchSilent {
 		m.endpointLease.RecordSilentWatch()
 	}
 	m.authorizer.SetEndpointsValidUntilMs(m.endpointLease.ExpiresAtMs())
--- a/internal/lifecycle/endpoints_test.go
+++ b/internal/lifecycle/endpoints_test.go
@@ -20,10 +20,10 @@
 		wantMs  float64
 	}{
 		"healthy, then rejected":    {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed}, lifecycle.CallRejected, failedCallMs + leaseMs},
-		"silent, then rejected":     {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Silent: true}, lifecycle.CallRejected, lastMessageMs + leaseMs},
-		"silent, then unreachable":  {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Silent: true}, lifecycle.CallUnreachable, lastMessageMs + leaseMs},
-		"idle, then rejected":       {lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Silent: true}, lifecycle.CallRejected, lastMessageMs + leaseMs},
-		"idle, then without result": {lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Silent: true}, lifecycle.CallInconclusive, lastMessageMs + leaseMs},
+		"silent, then rejected":     {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Failure: lifecycle.WatchSilent}, lifecycle.CallRejected, lastMessageMs + leaseMs},
+		"silent, then unreachable":  {lifecycle.EndpointUpdate{Kind: scheduler.WatchClosed, Failure: lifecycle.WatchSilent}, lifecycle.CallUnreachable, lastMessageMs + leaseMs},
+		"idle, then rejected":       {lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Failure: lifecycle.WatchSilent}, lifecycle.CallRejected, lastMessageMs + leaseMs},
+		"idle, then without result": {lifecycle.EndpointUpdate{Kind: scheduler.WatchIdle, Failure: lifecycle.WatchSilent}, lifecycle.CallInconclusive, lastMessageMs + leaseMs},
 	} {
 		t.Run(name, func(t *testing.T) {
 			fakeScheduler := &scriptedScheduler{}
--- a/internal/lifecycle/names_test.go
+++ b/internal/lifecycle/names_test.go
@@ -13,7 +13,7 @@
 			t.Errorf("response kind %d has the name %q, want a specific name", kind, name)
 		}
 	}
-	for failure := lifecycle.CallRejected; failure <= lifecycle.CallInconclusive; failure++ {
+	for failure := lifecycle.CallRejected; failure <= lifecycle.WatchSilent; failure++ {
 		if name := failure.String(); name == "" || name == "unknown" {
 			t.Errorf("call failure %d has the name %q, want a specific name", failure, name)
 		}
@@ -21,7 +21,7 @@
 	if name := (lifecycle.Superseded + 1).String(); name != "unknown" {
 		t.Errorf("a response kind out of range has the name %q, want unknown", name)
 	}
-	if name := (lifecycle.CallInconclusive + 1).String(); name != "unknown" {
+	if name := (lifecycle.WatchSilent + 1).String(); name != "unknown" {
 		t.Errorf("a call failure out of range has the name %q, want unknown", name)
 	}
 }
