Compute retry times alike on all architectures, so that golden decisions agree

Callers saw another Retry-After on arm64 than on x86-64.

Cause: retryAfter divided the missing units by the rate of the volume's limit and converted the result to a duration. Where the rate is 0 the quotient is infinite, and Go leaves that conversion to the architecture: amd64 gives the smallest int64, so that the limit was ignored, arm64 the largest, so that the wait was MaxRetryAfter.

Change: tokenBucket.waitFor decides the case without a rate (no wait, as on x86-64) and bounds the quotient before it is converted.

Not run on x86-64; there the value of the changed case is the one that the digests were recorded with.

--- a/internal/scheduler/retry.go
+++ b/internal/scheduler/retry.go
@@ -49,8 +49,7 @@
 		wait = min(max(wait, server.expectedLatency(s.now, s.latencyThreshold)), 2*s.latencyThreshold)
 	}
 	if volume := request.volume; volume.plan.Limit > 0 {
-		missing := request.Units - volume.limit.available(s.now)
-		wait = max(wait, time.Duration(missing/volume.limit.rate*float64(time.Second)))
+		wait = max(wait, volume.limit.waitFor(s.now, request.Units))
 	}
 	return min(wait, s.settings.MaxRetryAfter)
 }
--- a/internal/scheduler/tokenbucket.go
+++ b/internal/scheduler/tokenbucket.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxTokenWait is the longest time that tokenBucket.waitFor returns.
+const maxTokenWait = 24 * time.Hour
+
 // tokenBucket is filled with units at a constant rate up to a capacity. Its level may fall below zero.
 type tokenBucket struct {
 	rate, capacity, tokens float64 // rate in units per second; tokens is the level at updatedAt
@@ -28,6 +31,16 @@
 	return b.tokens
 }
 
+// waitFor returns how long it takes until the level reaches a number of units. It returns 0 if it has reached them, or if the bucket
+// is not filled, and maxTokenWait at most. Converting a float beyond the range of int64 gives other results on other architectures.
+func (b *tokenBucket) waitFor(now time.Duration, units float64) time.Duration {
+	missing := units - b.available(now)
+	if missing <= 0 || b.rate <= 0 {
+		return 0
+	}
+	return time.Duration(min(missing/b.rate*float64(time.Second), float64(maxTokenWait)))
+}
+
 // consume takes units out of the bucket, even if its level falls below zero.
 func (b *tokenBucket) consume(now time.Duration, units float64) { b.tokens = b.available(now) - units }
 
