Log and count the reason of each close and retry, and the memory in use

The log could not part the causes that fit: a memory limit, a crash, a timeout, connections closed to make room.

Change: every closed HTTP connection of a client is counted by reason (client_connections_closed_REASON), and closes that the gateway brings about are logged with the last request's id, at most 5 a second for each reason. Further attempts are counted by what the attempt before ended with (attempts_retried_after_STATUS, attempts_hedged). Memory in use, its limit and the open connections of clients are gauges, and memory_high is logged above 0.7 of the limit. Refusals had their reasons already (answers_rejected_REASON).

--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -52,6 +52,7 @@
 
 	// Used only by the server's goroutines of this connection, of which one reads at a time.
 
+	requestBegun   bool   // whether bytes of a request have been read and its head is not complete
 	requestActive  bool   // whether a complete head has been read and the response has not been written yet
 	pipelined      []byte // bytes that were read while a request was open and have not been passed to the server yet
 	discardedBytes int    // number of pipelined bytes that were discarded instead of buffered
@@ -59,6 +60,10 @@
 	clientClosed    atomic.Bool // whether a read has returned the end of the client's data or a connection error
 	responsePending atomic.Bool // whether a request has been accepted and has no response yet
 	discardStarted  atomic.Bool // whether Close has started a goroutine that reads and discards
+
+	acceptedAtMs float64
+	reason       atomic.Uint32          // closeReason of the close
+	requestID    atomic.Pointer[string] // id of the last request that was read
 }
 
 // trackResponse records that a request was accepted. The handler must defer the returned function, which records that the
@@ -91,6 +96,7 @@
 // accepted here. Read returns errTooMuchPipelined if pipelined bytes were discarded while the last request was open.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if c.discardedBytes > 0 && !c.requestActive {
+		c.noteReason(closeTooMuchPipelined)
 		return 0, errTooMuchPipelined
 	}
 	if c.requestActive && len(p) == 1 {
@@ -99,8 +105,10 @@
 	n, err := c.readPipelined(p)
 	if n == 0 {
 		c.recordClientClose(err)
+		c.noteReadError(err)
 		return n, err
 	}
+	c.requestBegun = !c.requestActive
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	if c.isShed {
@@ -168,14 +176,25 @@
 func (c *clientConn) recordClientClose(err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.clientClosed.Store(true)
+		c.noteReadError(err)
 	}
 }
 
+// Write records that a response could not be written.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.noteReason(closeWriteFailed)
+	}
+	return n, err
+}
+
 // Close closes the sending side and returns. In the background, the connection is read until the client has closed its own side,
 // but for at most gracefulclose.TimeoutMs, and is then closed. The kernel resets a connection that is closed with unread bytes,
 // and a client that has not yet received the last response would lose it. Unread bytes often follow a malformed request, and
 // further bytes may arrive at any moment.
 func (c *clientConn) Close() error {
+	c.noteServerClose()
 	c.tracker.mu.Lock()
 	c.closeWrite()
 	c.tracker.mu.Unlock()
@@ -205,7 +224,9 @@
 		c.closeLocked()
 	}
 	if tracker.drained == nil && tracker.closingConns.Len() > max(1, tracker.SheddingThreshold/closingLimitDivisor) {
-		oldest(&tracker.closingConns).closeLocked()
+		longestClosing := oldest(&tracker.closingConns)
+		longestClosing.noteReason(closeTooManyClosing)
+		longestClosing.closeLocked()
 	}
 }
 
@@ -230,6 +251,7 @@
 	c.tracker.pipelinedBytes -= c.bufferedBytes
 	c.tracker.closingConns.Remove(c.closingElement)
 	c.stopCloseTimer()
+	c.reportClose()
 	c.Conn.Close()
 	if c.onClosed != nil {
 		c.onClosed()
--- a/internal/frontend/httpserver/conntracker.go
+++ b/internal/frontend/httpserver/conntracker.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"gaugerelay/internal/clock"
+	"gaugerelay/internal/logevent"
 	"gaugerelay/internal/metrics"
 )
 
@@ -43,6 +44,8 @@
 	Clock             clock.Clock
 	Metrics           *metrics.Registry
 
+	closeEvents logevent.Limiter
+
 	mu             sync.Mutex
 	open           int       // number of connections that are neither closed nor shed
 	pipelinedBytes int       // number of pipelined bytes that are buffered for all connections together
@@ -87,7 +90,7 @@
 			conn.addToList(&t.idleConns)
 		}
 	case http.StateActive:
-		conn.requestActive = true
+		conn.requestActive, conn.requestBegun = true, false
 		conn.removeFromList()
 	case http.StateClosed, http.StateHijacked:
 		conn.removeFromList()
@@ -134,7 +137,7 @@
 func (t *ConnTracker) shedForDrain() {
 	for _, conns := range []*list.List{&t.newConns, &t.idleConns} {
 		for conns.Len() > 0 {
-			t.shed(oldest(conns))
+			t.shed(oldest(conns), closeShutdown)
 		}
 	}
 	select {
@@ -155,9 +158,9 @@
 		oldestNew, oldestIdle := oldest(&t.newConns), oldest(&t.idleConns)
 		switch {
 		case oldestNew != nil && (nowMs-oldestNew.listedAtMs >= firstByteTimeoutMs || oldestIdle == nil):
-			t.shed(oldestNew)
+			t.shed(oldestNew, closeSilentShed)
 		case oldestIdle != nil:
-			t.shed(oldestIdle)
+			t.shed(oldestIdle, closeIdleShed)
 		default:
 			return false
 		}
@@ -176,7 +179,7 @@
 			}
 			return
 		}
-		t.shed(c)
+		t.shed(c, closeIdleShed)
 	}
 }
 
@@ -188,10 +191,11 @@
 	t.shedExcess()
 }
 
-// shed closes the sending side of a connection that has no request. The connection itself is closed when its client has closed its
+// shed closes the sending side of a connection that has no request, for the given reason. The connection itself is closed when its client has closed its
 // side, after gracefulclose.TimeoutMs, or when too many connections wait for their clients to close, whichever comes first. The
 // caller holds t.mu.
-func (t *ConnTracker) shed(c *clientConn) {
+func (t *ConnTracker) shed(c *clientConn, reason closeReason) {
+	c.noteReason(reason)
 	c.removeFromList()
 	c.isShed = true
 	t.open--
--- a/internal/frontend/httpserver/conntracker_test.go
+++ b/internal/frontend/httpserver/conntracker_test.go
@@ -157,7 +157,7 @@
 	tracker := &ConnTracker{SheddingThreshold: 1, Clock: clock.NewManual(0), Metrics: metrics.New()}
 	serverSide, clientSide := net.Pipe()
 	conn := &clientConn{tracker: tracker}
-	conn.Conn = hookedConn{serverSide, func() { tracker.shed(conn) }}
+	conn.Conn = hookedConn{serverSide, func() { tracker.shed(conn, closeIdleShed) }}
 	tracker.ConnState(conn, http.StateNew)
 	writeInBackground(clientSide, "GET")
 	if n, err := conn.Read(make([]byte, 3)); n != 0 || err == nil {
--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -85,6 +85,7 @@
 		if conn.wasShed() { // the client sees the connection closed and sends the request again
 			panic(http.ErrAbortHandler)
 		}
+		conn.recordRequestID(r)
 		clientWaiting := func() bool { return r.Context().Err() == nil && !socketstate.PeerClosed(conn.Conn) }
 		defer conn.trackResponse(clientWaiting)()
 	}
@@ -130,7 +131,7 @@
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request, arrivedMs, respondByMs float64) {
 	request, err := h.parseRequest(r)
 	if err != nil {
-		h.rejectMalformed(w, err)
+		h.rejectMalformed(w, r, err)
 		return
 	}
 	// The request has been read, so the read deadline is cleared. If it expired, the server's read that detects a disconnect
--- a/internal/frontend/httpserver/listener.go
+++ b/internal/frontend/httpserver/listener.go
@@ -33,7 +33,7 @@
 		<-l.slots
 		return nil, err
 	}
-	return &clientConn{Conn: netConn, tracker: l.tracker, onClosed: func() { <-l.slots }}, nil
+	return &clientConn{Conn: netConn, tracker: l.tracker, acceptedAtMs: l.tracker.Clock.NowMs(), onClosed: func() { <-l.slots }}, nil
 }
 
 // Close closes the listener. Connections that it has accepted stay open.
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -75,8 +75,11 @@
 
 // rejectMalformed responds to a request for which parseRequest returned err. The server then closes the connection, because the
 // end of the body, and so the start of the next request, is unknown.
-func (h *Handler) rejectMalformed(w http.ResponseWriter, err error) {
+func (h *Handler) rejectMalformed(w http.ResponseWriter, r *http.Request, err error) {
 	h.Metrics.Add(frontend.RequestsMalformed, 1)
+	if conn := clientConnOf(r.Context()); conn != nil {
+		conn.noteReason(closeMalformed)
+	}
 	w.Header().Set("Connection", "close")
 	status := http.StatusBadRequest
 	if malformed := (*malformedError)(nil); errors.As(err, &malformed) {
--- a/internal/gateway/clientfrontend.go
+++ b/internal/gateway/clientfrontend.go
@@ -41,6 +41,10 @@
 		Metrics: g.Metrics, MaxPipelinedBytes: int(g.cfg.MemoryMB * pipelinedMemoryFraction * (1 << 20))}
 	handler := &httpserver.Handler{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
 		Settings: &g.cfg.Settings, Conns: conns, PauseDetector: g.pauseDetector}
+	g.Metrics.AddGauge(gaugeOpenNow, func() int64 {
+		open, _ := conns.Count()
+		return int64(open)
+	})
 	return &clientFrontend{gateway: g, conns: conns, handler: handler, after: after}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,8 +50,9 @@
 	upstream      *httpclient.Client
 	watcher       *discovery.Watcher
 	pauseDetector *clock.PauseDetector
-	components    []component // in start order
-	failures      chan error  // errors of components that have ended unexpectedly
+	memory        *memoryMonitor // nil until Start
+	components    []component    // in start order
+	failures      chan error     // errors of components that have ended unexpectedly
 
 	longestDeadline, shortestDeadline time.Duration // longest and shortest deadline of all classes
 
@@ -72,12 +73,14 @@
 		g.watcher.KeepOpen(g.ctx)
 	}
 	g.Metrics.Add(counterInvalidEntries, int64(g.cfg.InvalidKnownEntries))
+	g.memory = startMemoryMonitor(g, g.cfg)
 	for i, c := range g.components {
 		if err := c.start(g.ctx); err != nil {
 			for _, started := range g.components[:i] {
 				started.close()
 			}
 			g.cancel()
+			g.memory.close()
 			g.pauseDetector.Close()
 			return err
 		}
@@ -115,6 +118,7 @@
 	}
 	g.cancel()
 	g.upstream.Close()
+	g.memory.close()
 	g.pauseDetector.Close()
 }
 
--- a/internal/lifecycle/attempts.go
+++ b/internal/lifecycle/attempts.go
@@ -22,7 +22,8 @@
 	sentMs        float64
 	cancel        func()
 	ended         bool
-	neverExecuted bool // whether the attempt's status proves that the server did not execute it
+	neverExecuted bool             // whether the attempt's status proves that the server did not execute it
+	status        scheduler.Status // how the attempt ended; valid if ended is set
 }
 
 // attemptInFlight returns the attempt with the given number, or nil if no such attempt exists or it has ended.
@@ -70,6 +71,7 @@
 	state.attempts = append(state.attempts, attempt)
 	state.inFlight++
 	m.environment.Count(counterAttemptsStarted)
+	m.countRepetition(state.attempts[:number])
 	m.traceAttemptStarted(state.request, number, server)
 	attempt.cancel = state.request.Upstream.Start(Attempt{
 		Request:         state.request,
@@ -81,6 +83,18 @@
 	})
 }
 
+// countRepetition counts a further attempt by its reason: the status of the attempt before it, or hedging if that one is still in flight.
+func (m *Manager) countRepetition(earlier []*attemptState) {
+	if len(earlier) == 0 {
+		return
+	}
+	if last := earlier[len(earlier)-1]; last.ended {
+		m.environment.Count(counterRetriedPrefix + last.status.String())
+		return
+	}
+	m.environment.Count(counterHedged)
+}
+
 // startDeadlineMs returns the earlier of the scheduler's start deadline and the expiry of the quota lease that the attempt
 // depends on. 0 means that there is neither.
 func (m *Manager) startDeadlineMs(request *Request, send scheduler.Send) float64 {
@@ -116,7 +130,7 @@
 		return
 	}
 	latencyMs := nowMs - attempt.sentMs
-	attempt.ended = true
+	attempt.ended, attempt.status = true, result.Status
 	attempt.neverExecuted = result.Status.ProvesNotExecuted()
 	state.inFlight--
 	m.environment.Count(counterAttemptsPrefix + result.Status.String())
--- a/internal/lifecycle/counters.go
+++ b/internal/lifecycle/counters.go
@@ -2,7 +2,7 @@
 
 import "gaugerelay/internal/scheduler"
 
-// Names of counters. A status is appended to counterAttemptsPrefix.
+// Names of counters. A status is appended to a prefix.
 const (
 	counterRequestsAccepted  = "requests_accepted"
 	counterRequestsDuplicate = "requests_duplicate"
@@ -10,6 +10,9 @@
 	counterAttemptsStarted   = "attempts_started"
 
 	counterAttemptsPrefix = "attempts_"
+
+	counterRetriedPrefix = "attempts_retried_after_" // followed by the status of the attempt before
+	counterHedged        = "attempts_hedged"
 )
 
 // responseCounters holds the name of the counter of each kind of response to accepted requests.
--- a/internal/logevent/event.go
+++ b/internal/logevent/event.go
@@ -29,6 +29,9 @@
 	DiscoveryAgentUnavailable = "discovery_agent_unavailable"
 	DiscoveryAgentRecovered   = "discovery_agent_recovered"
 
+	ClientConnectionClosed = "client_connection_closed"
+	MemoryHigh             = "memory_high"
+
 	RequestAccepted  = "request_accepted"
 	RequestCompleted = "request_completed"
 	RequestCanceled  = "request_canceled"
@@ -53,8 +56,11 @@
 // Keys of the fields of log records. The comment on a key describes the field's value. Times are in milliseconds.
 const (
 	Address       = "addr"
-	AgeMs         = "age_ms"    // time since the first transmission of a WRITE
-	Announced     = "announced" // true if the BGP prefixes are announced, false if they are withdrawn
+	AgeMs         = "age_ms"       // time since the first transmission of a WRITE
+	ClientBytes   = "client_bytes" // memory that clients' unanswered data takes
+	LimitBytes    = "limit_bytes"
+	UsedBytes     = "used_bytes" // memory that the runtime has obtained and not returned
+	Announced     = "announced"  // true if the BGP prefixes are announced, false if they are withdrawn
 	Attempt       = "attempt"
 	Changed       = "changed" // names of the changed parts of the configuration that require a restart
 	Client        = "client"
@@ -74,8 +80,10 @@
 	Incarnation   = "incarnation"
 	State         = "state" // state of a BGP session or of a gateway in the fleet
 	Status        = "status"
-	Text          = "text" // text of an unstructured message
+	Text          = "text"       // text of an unstructured message
+	Suppressed    = "suppressed" // number of earlier events with the same reason that were not logged
 	TookMs        = "took_ms"
+	Unanswered    = "unanswered" // true if an accepted request has got no response
 	UploadKey     = "upload_key"
 	Version       = "version"
 )
