Reproduce the overload of the incident with crowds at real processes, failing

Change: internal/testbed/overload fakes crowds of eleven kinds, floods on one connection, clients that leave and repeat their requests, and bystanders. Chaos draws them from a stream of their own, so that the faults of a seed stay, and gives each gateway its own limits, against which it checks the peak of the resident memory (VmHWM) and the descriptors of each process. Two tests play eight crowds on one gateway.

--- a/cmd/faultbench/chaos.go
+++ b/cmd/faultbench/chaos.go
@@ -18,6 +18,9 @@
 	Rate      float64 `default:"12" help:"Requests per second to each gateway."`
 	Push      bool    `help:"Push endpoint lists to the gateways by an agent; by default the gateways poll for them."`
 	Faults    string  `help:"Names of the faults to inject, separated by commas; all by default."`
+	Overload  bool    `default:"true" negatable:"" help:"Overload gateways by crowds, floods and clients that leave."`
+	Memory    int     `default:"0" help:"Memory limit of each gateway in MB; 0 means that each draws its own."`
+	Sockets   int     `default:"0" help:"Limit on the descriptors of each gateway; 0 means that each draws its own."`
 	Shims     bool    `help:"Make system calls fail at random and offset the wall clock; needs a gateway built with the tag chaos."`
 	Debug     bool    `help:"Log each request in the gateways."`
 	Verbose   bool    `help:"Show the logs of all processes if an invariant was violated."`
@@ -36,7 +39,8 @@
 	}
 	options := chaos.Options{Binary: binary, Gateways: c.Processes, FleetSize: c.Siblings, Shards: c.Shards,
 		Duration: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed, RequestRate: c.Rate, PushDiscovery: c.Push,
-		Faults: faults, FailSystemCalls: c.Shims, DebugLog: c.Debug}
+		Faults: faults, FailSystemCalls: c.Shims, DebugLog: c.Debug, Overload: c.Overload,
+		MemoryMB: c.Memory, MaxSockets: c.Sockets}
 	if c.Verbose {
 		options.LogOutput = os.Stdout
 	}
--- a/internal/testbed/chaos/gateway.go
+++ b/internal/testbed/chaos/gateway.go
@@ -31,6 +31,7 @@
 	*process.Process
 	dir           string // directory of the files that the gateway reads
 	discoveryAddr int    // 0 or 1: which of the two addresses in discovery.addrs the gateway uses
+	limits        process.Limits
 
 	faultMu sync.Mutex // held by the fault that currently affects the process; meanwhile, other faults skip the process
 
@@ -38,6 +39,8 @@
 	kills        []process.Interval // from SIGKILL until the gateway is ready again
 	terminations []process.Interval // from SIGTERM until the gateway is ready again
 	pauses       []process.Interval // from SIGSTOP to SIGCONT
+	crowds       []process.Interval // while a crowd holds connections
+	peakUsage    process.Usage      // largest usage of any of its processes
 }
 
 // newGateway writes the files of a gateway but does not start the process.
@@ -47,7 +50,7 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("n%d", index)
-	g := &gateway{dir: filepath.Join(h.dir, name),
+	g := &gateway{dir: filepath.Join(h.dir, name), limits: h.drawLimits(index),
 		Process: &process.Process{Index: index, Name: name, ListenAddr: listenAddr, Binary: h.options.Binary, Log: h.log}}
 	if err := g.WriteConfig(g.dir, h.gatewayConfig(g), nil); err != nil {
 		return nil, err
--- a/internal/testbed/chaos/harness.go
+++ b/internal/testbed/chaos/harness.go
@@ -15,6 +15,8 @@
 const (
 	faultScheduleStream = 2
 	singleFaultStream   = 3
+	limitsStream        = 4
+	overloadStream      = 5
 	clientStream        = 1000 // stream of the clients of the first gateway; the following gateways use the following numbers
 )
 
@@ -112,6 +114,9 @@
 func (h *harness) run() {
 	h.startTraffic()
 	h.goroutines.Go(h.injectFaults)
+	if h.options.Overload {
+		h.goroutines.Go(h.injectOverload)
+	}
 	time.Sleep(h.options.Duration)
 	h.stopTraffic()
 }
@@ -119,6 +124,7 @@
 // startTraffic starts the clients and the stall detector.
 func (h *harness) startTraffic() {
 	h.goroutines.Go(h.detectStalls)
+	h.goroutines.Go(h.watchUsage)
 	for _, c := range h.clients {
 		h.goroutines.Go(func() { c.sendRequests(h.options.RequestRate, h.options.Shards, h.stop, &h.goroutines) })
 	}
@@ -146,6 +152,7 @@
 	for _, text := range h.metricViolations {
 		result.addViolation(&result.GatewayReported, "%s", text)
 	}
+	h.checkUsage(result)
 	newChecker(h, result).check()
 	if result.ViolationCount() > 0 {
 		h.writeLog()
--- a/internal/testbed/chaos/options.go
+++ b/internal/testbed/chaos/options.go
@@ -20,6 +20,9 @@
 	FailSystemCalls bool     // whether system calls of the gateways fail at random; requires a Binary built with the tag chaos
 	DebugLog        bool     // whether gateways log each request
 	Faults          []string // names of the faults to inject; empty: all faults
+	MemoryMB        int      // memory limit of each gateway; 0: drawn for each
+	MaxSockets      int      // limit on the descriptors of each gateway; 0: drawn for each
+	Overload        bool     // whether crowds, floods and leaving clients overload the gateways
 	// LogOutput receives the merged log of all processes if an invariant was violated. It may be nil.
 	LogOutput io.Writer
 }
--- a/internal/testbed/chaos/result.go
+++ b/internal/testbed/chaos/result.go
@@ -25,20 +25,24 @@
 	DeadlineExtended    int // attempts that stated a longer remaining time to the server than the client had left
 	GatewayReported     int // nonzero violation counters in the metrics of gateways
 	Crashed             int // gateways that exited unexpectedly, did not exit in time, or did not start
+	MemoryExceeded      int // gateways whose peak memory was over their limit
+	DescriptorsExceeded int // gateways that had more descriptors than their limit
+	KeptOut             int // gateways at which too many requests got no response while a crowd held connections
 
 	Violations []string // descriptions of the first violations
 }
 
 // ViolationCount returns the number of violations of all kinds.
 func (r *Result) ViolationCount() int {
-	return r.SentAfterDrain + r.SlowStartExceeded + r.Lost + r.DuplicateExecutions + r.DeadlineExtended + r.GatewayReported + r.Crashed
+	return r.SentAfterDrain + r.SlowStartExceeded + r.Lost + r.DuplicateExecutions + r.DeadlineExtended + r.GatewayReported + r.Crashed +
+		r.MemoryExceeded + r.DescriptorsExceeded + r.KeptOut
 }
 
 // String returns the summary line of the run in the format that scripts parse.
 func (r *Result) String() string {
-	return fmt.Sprintf("processes=%d seed=%d faults=%d requests=%d drain=%d slow_start=%d lost=%d duplicate=%d late_deadline=%d closed_without_response=%d crashed=%d",
+	return fmt.Sprintf("processes=%d seed=%d faults=%d requests=%d drain=%d slow_start=%d lost=%d duplicate=%d late_deadline=%d closed_without_response=%d crashed=%d memory=%d descriptors=%d kept_out=%d",
 		r.Gateways, r.Seed, r.FaultCount, r.Requests, r.SentAfterDrain, r.SlowStartExceeded, r.Lost, r.DuplicateExecutions,
-		r.DeadlineExtended, r.GatewayReported, r.Crashed)
+		r.DeadlineExtended, r.GatewayReported, r.Crashed, r.MemoryExceeded, r.DescriptorsExceeded, r.KeptOut)
 }
 
 // addViolation counts a violation, and describes it if it is among the first maxViolationTexts.
--- a/internal/testbed/chaos/server.go
+++ b/internal/testbed/chaos/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	lastByteAt    time.Time     // arrival of the last byte; zero if the request did not arrive completely
 	remainingTime time.Duration // remaining time that the gateway states in the request
 	units         float64
+	padding       int  // bytes that the client wants the response to be longer by
 	executed      bool // whether the request arrived completely and was not rejected, so that the server may have executed it
 }
 
@@ -193,6 +195,7 @@
 		}
 		left, _ := strconv.ParseFloat(req.Header.Get("X-Time-Left-Ms"), 64) // 0 if the header is missing
 		a.remainingTime = time.Duration(left * float64(time.Millisecond))
+		a.padding = parsePadding(req)
 		_, err = io.Copy(io.Discard, req.Body)
 	}
 	if err == nil {
@@ -204,6 +207,15 @@
 	return a, err
 }
 
+// parsePadding returns the padding of the response that a request asks for.
+func parsePadding(req *http.Request) int {
+	padding, err := strconv.Atoi(req.URL.Query().Get("padding"))
+	if err != nil { // most requests ask for none
+		return 0
+	}
+	return max(0, padding)
+}
+
 // execution is how a server treats one request.
 type execution struct {
 	behavior behavior
@@ -233,7 +245,7 @@
 		return writeText(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
 	time.Sleep(e.duration)
-	body := responsePrefix(a.id) + s.name
+	body := responsePrefix(a.id) + s.name + strings.Repeat(" ", a.padding)
 	response := formatResponse(a.id, body)
 	switch {
 	case e.behavior == hang:
--- a/internal/testbed/chaos/settings.go
+++ b/internal/testbed/chaos/settings.go
@@ -88,7 +88,7 @@
 		Discovery: h.discovery.addrs[g.Index][g.discoveryAddr],
 		Seed:      fmt.Sprintf("%016x", h.options.Seed<<16+uint64(g.Index+1)),
 		Known:     h.discovery.currentList(),
-		Limits:    process.Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
+		Limits:    g.limits,
 		Settings:  gatewaySettings(&h.options, g.Index),
 	}
 }
--- /dev/null
+++ b/internal/testbed/overload/bystander.go
@@ -0,0 +1,189 @@
+package overload
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// BystanderOptions are the parameters of Bystanders.
+type BystanderOptions struct {
+	Interval    time.Duration // time between the starts of two requests on new connections
+	KeptConns   int           // clients that keep their connections and send a further request as soon as one is answered
+	KeptPause   time.Duration // time for which such a client is idle between two requests
+	RetryWithin time.Duration // time for which a request is sent again on another connection if its connection ends
+}
+
+// BystanderResult is what clients that overload nothing saw.
+type BystanderResult struct {
+	Requests   int
+	Served     int
+	Refused    int      // responses 429 and 503
+	Failed     int      // other responses
+	Unanswered int      // requests without a response in time
+	Lost       int      // connections that ended after a whole request was written to them and before the whole response
+	Losses     []string // descriptions of the first losses
+}
+
+// retryPause is the time after which a request whose connection has ended is sent again.
+const retryPause = 20 * time.Millisecond
+
+// maxLossTexts is how many losses a BystanderResult describes.
+const maxLossTexts = 10
+
+// AnsweredFraction returns the fraction of the requests that got a response in time.
+func (r *BystanderResult) AnsweredFraction() float64 {
+	return 1 - float64(r.Unanswered)/float64(max(1, r.Requests))
+}
+
+// ServedFraction returns the fraction of the requests that were served.
+func (r *BystanderResult) ServedFraction() float64 {
+	return float64(r.Served) / float64(max(1, r.Requests))
+}
+
+// bystanders are the clients of one call of Bystanders.
+type bystanders struct {
+	target  *Target
+	options BystanderOptions
+	seed    uint64
+
+	mu     sync.Mutex
+	result BystanderResult
+}
+
+// Bystanders sends valid read requests until stop is closed: one after the other on new connections, and others on kept connections. It
+// returns when all requests have ended.
+func Bystanders(target Target, options BystanderOptions, seed uint64, stop <-chan struct{}) BystanderResult {
+	b := &bystanders{target: &target, options: options, seed: seed}
+	var running sync.WaitGroup
+	for client := range options.KeptConns {
+		running.Go(func() { b.keepConn(client, stop) })
+	}
+	for number := 0; !isClosed(stop); number++ {
+		running.Go(func() { b.sendOnNewConn(fmt.Sprintf("new-%x-%d", seed, number)) })
+		sleep(stop, options.Interval)
+	}
+	running.Wait()
+	return b.result
+}
+
+// keepConn sends requests on a connection that it keeps. When the connection has ended it opens another one.
+func (b *bystanders) keepConn(client int, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(b.seed, uint64(client)))
+	var conn net.Conn
+	for number := 0; !isClosed(stop); number++ {
+		conn = b.send(conn, b.target.newRead(fmt.Sprintf("kept-%x-%d-%d", b.seed, client, number), random))
+		sleep(stop, b.options.KeptPause)
+	}
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// sendOnNewConn sends a request on a new connection and closes it.
+func (b *bystanders) sendOnNewConn(id string) {
+	random := rand.New(rand.NewPCG(b.seed, uint64(len(id))))
+	if conn := b.send(nil, b.target.newRead(id, random)); conn != nil {
+		conn.Close()
+	}
+}
+
+// send sends a request on conn, or on a new connection if conn is nil, and counts its outcome. If the connection ends without a response,
+// it repeats the request on another one. It returns the connection, or nil if it has ended.
+func (b *bystanders) send(conn net.Conn, request *Request) net.Conn {
+	startedAt := time.Now()
+	deadline := startedAt.Add(time.Duration(request.DeadlineMs) * time.Millisecond)
+	retryUntil := startedAt.Add(min(b.options.RetryWithin, time.Until(deadline)))
+	for {
+		isNew := conn == nil
+		if isNew {
+			conn = b.dialUntil(deadline)
+		}
+		status, written, err := exchange(conn, request, deadline)
+		if err == nil {
+			b.count(status)
+			return conn
+		}
+		if conn != nil {
+			conn.Close()
+		}
+		timedOut := time.Now().After(deadline)
+		if written && !timedOut && isNew { // on a kept connection, the close may have crossed the request
+			b.countLoss(request, startedAt, err)
+		}
+		if timedOut || time.Now().After(retryUntil) {
+			b.countUnanswered()
+			return nil
+		}
+		conn = nil
+		time.Sleep(retryPause)
+	}
+}
+
+// dialUntil connects to the gateway, or returns nil if that fails until the deadline.
+func (b *bystanders) dialUntil(deadline time.Time) net.Conn {
+	dialer := net.Dialer{Deadline: deadline}
+	conn, err := dialer.DialContext(context.Background(), "tcp", b.target.Addr)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
+// exchange sends a request and reads the whole response. written reports whether the whole request was written.
+func exchange(conn net.Conn, request *Request, deadline time.Time) (status int, written bool, err error) {
+	if conn == nil {
+		return 0, false, net.ErrClosed
+	}
+	conn.SetDeadline(deadline)
+	if _, err := io.WriteString(conn, request.Head()); err != nil {
+		return 0, false, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, true, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, true, err
+}
+
+// count counts a request with a response.
+func (b *bystanders) count(status int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.result.Requests++
+	switch status {
+	case http.StatusOK:
+		b.result.Served++
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		b.result.Refused++
+	default:
+		b.result.Failed++
+	}
+}
+
+// countUnanswered counts a request without a response.
+func (b *bystanders) countUnanswered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.result.Requests++
+	b.result.Unanswered++
+}
+
+// countLoss counts a connection that ended under a request.
+func (b *bystanders) countLoss(request *Request, startedAt time.Time, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.result.Lost++
+	if len(b.result.Losses) < maxLossTexts {
+		b.result.Losses = append(b.result.Losses, fmt.Sprintf("%s: the connection ended after %v: %v", request.ID,
+			time.Since(startedAt).Round(time.Millisecond), err))
+	}
+}
