Do not count a client that resets under its response as left without one

Cause: net/http closes the connection inside the handler's write when that write fails, before the handler has recorded that the response was written (stack: response.Write, chunkWriter.Write, clientConn.Close, closeLocked). The write got the reset, so that no read recorded that the client had closed.

Change: a failed write records the client's close and that the response was begun.

Result: TestResetDuringResponseIsNoViolation counted 1 violation before and 0 now.

--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -180,11 +180,14 @@
 	}
 }
 
-// Write records that a response could not be written.
+// Write records that a response could not be written. net/http then closes the connection while the handler still writes: the client has
+// disconnected or does not read, so that it has not been left without a response.
 func (c *clientConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
+		c.recordClientClose(err)
 		c.noteReason(closeWriteFailed)
+		c.responsePending.Store(false)
 	}
 	return n, err
 }
--- a/internal/frontend/httpserver/races_test.go
+++ b/internal/frontend/httpserver/races_test.go
@@ -275,3 +275,24 @@
 		t.Error("the second request was submitted although its connection had been shed")
 	}
 }
+
+// A client that resets its connection instead of reading a response has not been left without one.
+func TestResetDuringResponseIsNoViolation(t *testing.T) {
+	s, closed := startServerReporting(t, http.StateClosed)
+	client := s.dial(t)
+	testbed.Write(t, client, rawGet(1))
+	request := receive(t, "the request", s.submitted)
+	if err := client.SetLinger(0); err != nil { // closes by a reset
+		t.Fatal(err)
+	}
+	body := make([]byte, 64<<20) // more than the kernel buffers, so that the write is under way when the client resets
+	request.Respond(lifecycle.Response{Body: body})
+	if _, err := io.ReadFull(client, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	testbed.Close(t, client)
+	receive(t, "closed", closed)
+	if violations := s.tracker.Metrics.Get(closedWithoutResponse); violations != 0 {
+		t.Errorf("%d connections count as closed without a response, want 0", violations)
+	}
+}
--- a/internal/frontend/httpserver/testserver_test.go
+++ b/internal/frontend/httpserver/testserver_test.go
@@ -80,6 +80,21 @@
 		"X-Plan: basic\r\nX-Time-Left-Ms: 900\r\nX-IO: volume=1,units=1,shard=0,hosts=1\r\n\r\n", id)
 }
 
+// startServerReporting starts a server. reached receives each connection that the server reports to have entered the given state.
+func startServerReporting(t *testing.T, state http.ConnState) (s *testServer, reached chan *clientConn) {
+	t.Helper()
+	reached = make(chan *clientConn, 4)
+	s = startServer(t, func(s *testServer, ln net.Listener) net.Listener {
+		s.server.ConnState = func(netConn net.Conn, current http.ConnState) {
+			if s.tracker.ConnState(netConn, current); current == state {
+				reached <- netConn.(*clientConn)
+			}
+		}
+		return ln
+	})
+	return s, reached
+}
+
 // receive returns the next value of a channel. It fails the test if none arrives within 20 s. description identifies the value
 // in the failure.
 func receive[T any](t *testing.T, description string, values <-chan T) (value T) {
