--- a/cmd/gaugerelay/serve.go
+++ b/cmd/gaugerelay/serve.go
@@ -17,13 +17,9 @@
 // signalQueueSize is the number of signals that can be pending. Package signal drops further ones.
 const signalQueueSize = 16
 
-const (
-	// gcPercent lets the heap grow to four times the live heap before a collection. The live heap is a few MB, and processor
-	// time is scarcer than memory. Near the memory limit the garbage collector runs more often.
-	gcPercent = 300
-	// runtimeMemoryFraction is the fraction of the platform's memory limit that the Go runtime may use.
-	runtimeMemoryFraction = 0.75
-)
+// gcPercent lets the heap grow to four times the live heap before a collection. The live heap is a few MB, and processor time is scarcer
+// than memory. Near the memory limit the garbage collector runs more often.
+const gcPercent = 300
 
 // serveCommand runs the gateway.
 type serveCommand struct {
@@ -94,8 +90,8 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Floor(cfg.Cores))))
 	}
-	if cfg.MemoryMB > 0 {
+	if limit := gateway.RuntimeMemoryLimit(cfg); limit > 0 {
 		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(int64(cfg.MemoryMB * runtimeMemoryFraction * (1 << 20)))
+		debug.SetMemoryLimit(limit)
 	}
 }
--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/httpmessage"
+	"gaugerelay/internal/memorybudget"
+	"gaugerelay/internal/socketstate"
 )
 
 const (
@@ -31,20 +34,26 @@
 // was still connected. It must stay 0.
 const closedWithoutResponse = "rule_violations_closed_without_response"
 
-var errTooMuchPipelined = errors.New("httpserver: the client sent more pipelined bytes than the gateway buffers")
-
 // clientConn is a client's connection that a ConnTracker tracks.
 type clientConn struct {
 	net.Conn
-	tracker  *ConnTracker
-	onClosed func() // called when the connection has been closed; may be nil
+	tracker      *ConnTracker
+	account      *memorybudget.Account // memory that the connection uses
+	acceptedAtMs float64
+	onClosed     func() // called when the connection has been closed; may be nil
+
+	// arrivalMu may be acquired while tracker.mu is held, but not the other way round.
+	arrivalMu  sync.Mutex
+	hasArrived bool // whether bytes have been read since the last response; guarded by arrivalMu
 
 	// Guarded by tracker.mu.
 
-	list           *list.List // tracker.newConns, tracker.idleConns, or nil if the connection is in neither
+	list           *list.List // tracker.newConns, tracker.idleConns, tracker.readingConns, or nil if the connection is in none
 	element        *list.Element
-	listedAtMs     float64 // time at which the connection was added to list
-	isShed         bool
+	listedAtMs     float64       // time at which the connection was added to list
+	receivedBytes  int           // bytes of the current request that have been read
+	isShed         bool          // whether the sending side was closed because the connection had no request
+	evictedFor     closeReason   // why the request that is being read is rejected unread; closeUnspecified if it is not
 	closingElement *list.Element // element of tracker.closingConns; nil while the sending side is open
 	stopCloseTimer func()        // stops the timer that closes the connection
 	closed         bool
@@ -52,18 +61,20 @@
 
 	// Used only by the server's goroutines of this connection, of which one reads at a time.
 
-	requestBegun   bool   // whether bytes of a request have been read and its head is not complete
-	requestActive  bool   // whether a complete head has been read and the response has not been written yet
-	pipelined      []byte // bytes that were read while a request was open and have not been passed to the server yet
-	discardedBytes int    // number of pipelined bytes that were discarded instead of buffered
+	head           headScanner // the head that is being read
+	requestBegun   bool        // whether bytes of a request have been read and its head is not complete
+	requestActive  bool        // whether a complete head has been read and the response has not been written yet
+	bodyLeft       int64       // bytes of the current request's body that have not been read; unknownLength if that is not known
+	requestBytes   int         // bytes that account has for the current request
+	pipelined      []byte      // bytes that were read from the connection and have not been passed to the server yet
+	discardedBytes int         // number of pipelined bytes that were discarded instead of buffered
 
 	clientClosed    atomic.Bool // whether a read has returned the end of the client's data or a connection error
 	responsePending atomic.Bool // whether a request has been accepted and has no response yet
 	discardStarted  atomic.Bool // whether Close has started a goroutine that reads and discards
 
-	acceptedAtMs float64
-	reason       atomic.Uint32          // closeReason of the close
-	requestID    atomic.Pointer[string] // id of the last request that was read
+	reason    atomic.Uint32          // closeReason of the close
+	requestID atomic.Pointer[string] // id of the last request that was read
 }
 
 // trackResponse records that a request was accepted. The handler must defer the returned function, which records that the
@@ -90,81 +101,38 @@
 	return c.isShed
 }
 
-// Read returns net.ErrClosed if the connection was shed while a request was being read from it. That can happen because net/http
-// reports a connection as active only when a complete head has arrived, so the tracker regards the connection as new or idle until
-// Read removes it from its list. The client sees the connection closed and sends the request again, so the request must not be
-// accepted here. Read returns errTooMuchPipelined if pipelined bytes were discarded while the last request was open.
-func (c *clientConn) Read(p []byte) (int, error) {
-	if c.discardedBytes > 0 && !c.requestActive {
-		c.noteReason(closeTooMuchPipelined)
-		return 0, errTooMuchPipelined
-	}
-	if c.requestActive && len(p) == 1 {
-		return c.watchForDisconnect(p)
-	}
-	n, err := c.readPipelined(p)
-	if n == 0 {
-		c.recordClientClose(err)
-		c.noteReadError(err)
-		return n, err
-	}
-	c.requestBegun = !c.requestActive
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	if c.isShed {
-		return 0, net.ErrClosed
+// reserveBuffer adds n, or as much of it as tracker.MaxPipelinedBytes and the memory allow, to the counts of buffered bytes, and returns
+// what it added.
+func (c *clientConn) reserveBuffer(n int) int {
+	n = c.countBuffer(n, c.tracker.MaxPipelinedBytes)
+	if !c.account.ReserveBulk(n) {
+		c.countBuffer(-n, 0)
+		return 0
 	}
-	c.removeFromList()
-	return n, err
+	return n
 }
 
-// readPipelined reads from the buffered pipelined bytes, or from the connection if none are buffered.
-func (c *clientConn) readPipelined(p []byte) (int, error) {
-	if len(c.pipelined) == 0 {
-		return c.Conn.Read(p)
-	}
-	n := copy(p, c.pipelined)
-	if n == len(c.pipelined) {
-		c.pipelined = nil
-	} else {
-		c.pipelined = c.pipelined[n:]
-	}
-	c.reserveBuffer(-n)
-	return n, nil
+// forceBuffer adds n to the counts of buffered bytes.
+func (c *clientConn) forceBuffer(n int) {
+	c.account.Force(c.countBuffer(n, 0))
 }
 
-// watchForDisconnect reads until the client disconnects, or until the read deadline that net/http sets when the response has been
-// written. net/http calls Read with one byte while a request is open, to detect a disconnect, and stops when it gets that byte.
-// If a client pipelined another request and then disconnected, net/http would not detect the disconnect, and the open request would
-// be forwarded in vain. So watchForDisconnect buffers the bytes that it reads for later calls of Read, and returns none of them.
-func (c *clientConn) watchForDisconnect(p []byte) (int, error) {
-	for c.discardedBytes < maxDiscardBytes {
-		n, err := c.Conn.Read(p)
-		kept := c.reserveBuffer(min(n, maxPipelinedBytes-len(c.pipelined)))
-		c.pipelined = append(c.pipelined, p[:kept]...)
-		c.discardedBytes += n - kept
-		if err != nil {
-			c.recordClientClose(err)
-			return 0, err
-		}
-		if len(p) == 1 {
-			p = make([]byte, discardBufferBytes)
-		}
-	}
-	return 1, nil // net/http stops watching, and Read returns errTooMuchPipelined after the response
+// releaseBuffer subtracts n from the counts of buffered bytes.
+func (c *clientConn) releaseBuffer(n int) {
+	c.account.Release(-c.countBuffer(-n, 0))
 }
 
-// reserveBuffer adds n, or as much of it as tracker.MaxPipelinedBytes allows, to the counts of buffered bytes, and returns what it
-// added. A negative n releases bytes.
-func (c *clientConn) reserveBuffer(n int) int {
+// countBuffer adds n to the numbers of buffered bytes of the connection and of the tracker, but not more than the limit of the latter
+// allows; 0 means no limit. It returns what it added.
+func (c *clientConn) countBuffer(n, limit int) int {
 	tracker := c.tracker
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	if c.closed { // closeLocked has released all bytes of the connection
 		return 0
 	}
-	if tracker.MaxPipelinedBytes > 0 {
-		n = min(n, max(0, tracker.MaxPipelinedBytes-tracker.pipelinedBytes))
+	if limit > 0 {
+		n = min(n, max(0, limit-tracker.pipelinedBytes))
 	}
 	c.bufferedBytes += n
 	tracker.pipelinedBytes += n
@@ -206,7 +174,7 @@
 	} else if !c.discardStarted.Swap(true) {
 		// The goroutine ends when the connection is closed, at the latest by the timer that closeWrite has set.
 		go func() {
-			c.SetReadDeadline(time.Time{})
+			_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed, which the next read reports
 			_, _ = io.Copy(io.Discard, c.Conn) // an error ends the wait just as EOF does
 			c.finishClose()
 		}()
@@ -252,6 +220,7 @@
 		c.tracker.Metrics.Add(closedWithoutResponse, 1)
 	}
 	c.tracker.pipelinedBytes -= c.bufferedBytes
+	c.account.Close()
 	c.tracker.closingConns.Remove(c.closingElement)
 	c.stopCloseTimer()
 	c.reportClose()
@@ -261,7 +230,38 @@
 	}
 }
 
-// removeFromList removes the connection from tracker.newConns or tracker.idleConns, if it is in one of them. The caller holds
+// markShed marks the connection as shed, unless bytes of a request have arrived: closing the connection would lose that request. The
+// caller holds tracker.mu.
+func (c *clientConn) markShed() bool {
+	c.arrivalMu.Lock()
+	defer c.arrivalMu.Unlock()
+	if c.hasArrived || c.hasUnreadData() {
+		return false
+	}
+	c.isShed = true
+	return true
+}
+
+// hasUnreadData reports whether bytes from the client wait to be read.
+func (c *clientConn) hasUnreadData() bool {
+	unread, err := socketstate.HasUnreadData(c.Conn)
+	return unread && err == nil
+}
+
+// evict rejects the request that is being read: the read ends, and the goroutine that reads writes the response. The caller holds
+// tracker.mu.
+func (c *clientConn) evict(reason closeReason) {
+	if c.evictedFor != closeUnspecified || c.isShed || c.closed {
+		return
+	}
+	c.evictedFor = reason
+	c.removeFromList()
+	c.tracker.open--
+	c.tracker.Metrics.Add(connectionsEvicted, 1)
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// removeFromList removes the connection from its list, if it is in one. The caller holds
 // tracker.mu.
 func (c *clientConn) removeFromList() {
 	if c.list != nil {
@@ -270,7 +270,7 @@
 	}
 }
 
-// addToList moves the connection to the end of tracker.newConns or tracker.idleConns. The caller holds tracker.mu.
+// addToList moves the connection to the end of one of the tracker's lists. The caller holds tracker.mu.
 func (c *clientConn) addToList(conns *list.List) {
 	c.removeFromList()
 	c.list, c.element, c.listedAtMs = conns, conns.PushBack(c), c.tracker.Clock.NowMs()
--- /dev/null
+++ b/internal/frontend/httpserver/clientread.go
@@ -0,0 +1,324 @@
+package httpserver
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"gaugerelay/internal/socketstate"
+)
+
+// unknownLength is the value of clientConn.bodyLeft for a body whose length is not known.
+const unknownLength = -1
+
+// Memory that a request takes beyond the bytes that were received.
+const (
+	// headCopies is the number of copies of a head in memory: the read buffer and the parsed fields.
+	headCopies = 2
+	// fieldBytes is the memory of one field of a parsed head in addition to its text.
+	fieldBytes = 128
+)
+
+var (
+	errTooMuchPipelined = errors.New("httpserver: the client sent more pipelined bytes than the gateway buffers")
+	// errEvicted ends a request that is rejected before it has been read.
+	errEvicted = errors.New("httpserver: the request is rejected to make room for others")
+)
+
+// Read returns bytes of one request at most, so that the next head begins with the first byte of a later call. It returns net.ErrClosed
+// if the connection was shed while a request was being read from it. That can happen because net/http reports a connection as active only
+// when a complete head has arrived, so the tracker regards the connection as new or idle until Read removes it from its list. The client
+// sees the connection closed and sends the request again, so the request must not be accepted here. Read returns errTooMuchPipelined if
+// pipelined bytes were discarded while the last request was open.
+func (c *clientConn) Read(p []byte) (int, error) {
+	if c.discardedBytes > 0 && !c.requestActive {
+		c.noteReason(closeTooMuchPipelined)
+		return 0, errTooMuchPipelined
+	}
+	if c.requestActive && len(p) == 1 {
+		return c.watchForDisconnect(p)
+	}
+	if c.requestActive {
+		return c.readBody(p)
+	}
+	return c.readHead(p)
+}
+
+// readHead reads bytes of a head. If the request must be rejected before it is complete, it writes the response itself, since net/http
+// would close the connection without one, and returns io.EOF, upon which net/http closes the connection.
+func (c *clientConn) readHead(p []byte) (int, error) {
+	n, err := c.readRequest(p)
+	if reason := c.evictionReason(); reason != closeUnspecified {
+		return 0, c.reject(responseBusy, reason)
+	}
+	if n == 0 {
+		return 0, err
+	}
+	c.requestBegun = true
+	linesBefore := c.head.lines
+	headBytes, _ := c.head.scan(p[:n])
+	c.unread(p[headBytes:n])
+	if c.head.tooManyLines() {
+		return 0, c.reject(responseTooManyFields, closeTooManyFields)
+	}
+	if !c.reserveHead(headCopies*headBytes + fieldBytes*(c.head.lines-linesBefore)) {
+		return 0, c.reject(responseBusy, closeMemory)
+	}
+	return headBytes, err
+}
+
+// readBody reads bytes of a body. It returns errEvicted if the request must be rejected before it is complete.
+func (c *clientConn) readBody(p []byte) (int, error) {
+	if c.bodyLeft >= 0 {
+		p = p[:min(int64(len(p)), c.bodyLeft)]
+	}
+	n, err := c.readRequest(p)
+	if c.evictionReason() != closeUnspecified {
+		return 0, errEvicted
+	}
+	if c.bodyLeft >= 0 {
+		c.bodyLeft -= int64(n)
+	}
+	return n, err
+}
+
+// readRequest reads bytes of a request from the buffered bytes, or from the connection if none are buffered, and records the progress. It
+// returns net.ErrClosed if the connection has been shed.
+func (c *clientConn) readRequest(p []byte) (int, error) {
+	if len(c.pipelined) > 0 {
+		return c.readPipelined(p), nil
+	}
+	n, err := c.readConn(p)
+	if n == 0 {
+		c.recordClientClose(err)
+		c.noteReadError(err)
+		return 0, err
+	}
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if !c.recordProgressLocked(n) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// readConn reads from the connection and sets hasArrived. For a socket it does both under arrivalMu, so that the bytes of a request are
+// always either unread or recorded when the tracker decides whether to shed the connection.
+func (c *clientConn) readConn(p []byte) (int, error) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return socketstate.ReadLocked(tcp, p, &c.arrivalMu, func(int) { c.hasArrived = true })
+	}
+	n, err := c.Conn.Read(p)
+	c.arrivalMu.Lock()
+	defer c.arrivalMu.Unlock()
+	c.hasArrived = c.hasArrived || n > 0
+	return n, err
+}
+
+// readPipelined reads from the buffered bytes, of which there must be some. A connection with buffered bytes is not shed.
+func (c *clientConn) readPipelined(p []byte) int {
+	n := copy(p, c.pipelined)
+	if n == len(c.pipelined) {
+		c.pipelined = nil
+	} else {
+		c.pipelined = c.pipelined[n:]
+	}
+	c.releaseBuffer(n)
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.recordProgressLocked(n)
+	return n
+}
+
+// unread puts back bytes that were read, in front of the buffered ones.
+func (c *clientConn) unread(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	c.pipelined = append(append(make([]byte, 0, len(data)+len(c.pipelined)), data...), c.pipelined...)
+	c.forceBuffer(len(data))
+}
+
+// watchForDisconnect reads until the client disconnects, or until the read deadline that net/http sets when the response has been
+// written. net/http calls Read with one byte while a request is open, to detect a disconnect, and stops when it gets that byte.
+// If a client pipelined another request and then disconnected, net/http would not detect the disconnect, and the open request would
+// be forwarded in vain. So watchForDisconnect buffers the bytes that it reads for later calls of Read, and returns none of them.
+func (c *clientConn) watchForDisconnect(p []byte) (int, error) {
+	for c.discardedBytes < maxDiscardBytes {
+		n, err := c.Conn.Read(p)
+		kept := c.reserveBuffer(min(n, maxPipelinedBytes-len(c.pipelined)))
+		c.pipelined = append(c.pipelined, p[:kept]...)
+		c.discardedBytes += n - kept
+		if err != nil {
+			c.recordClientClose(err)
+			return 0, err
+		}
+		if len(p) == 1 {
+			p = make([]byte, discardBufferBytes)
+		}
+	}
+	return 1, nil // net/http stops watching, and Read returns errTooMuchPipelined after the response
+}
+
+// expectBody sets the length of the body of the request whose head has just been read; a negative length is unknown.
+func (c *clientConn) expectBody(length int64) { c.bodyLeft = max(length, unknownLength) }
+
+// recordProgressLocked records that bytes of a request have been read. It returns false if the connection has been shed. The caller holds
+// tracker.mu.
+func (c *clientConn) recordProgressLocked(bytes int) bool {
+	if c.isShed {
+		return false
+	}
+	if c.evictedFor != closeUnspecified {
+		return true
+	}
+	if c.list != &c.tracker.readingConns {
+		c.addToList(&c.tracker.readingConns)
+		c.receivedBytes = 0
+		if c.tracker.open > c.tracker.SheddingThreshold {
+			c.tracker.scheduleShedding(slowRequestMs)
+		}
+	}
+	c.receivedBytes += bytes
+	return true
+}
+
+// take records that a request has been read completely, so that its connection stays open until it has its response. It returns false
+// if the request must be rejected instead.
+func (c *clientConn) take() bool {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.evictedFor != closeUnspecified {
+		return false
+	}
+	c.removeFromList()
+	return true
+}
+
+// evictionReason returns why the request that is being read must be rejected, or closeUnspecified.
+func (c *clientConn) evictionReason() closeReason {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.evictedFor
+}
+
+// reserveHead reserves memory for the head of the current request. It returns false if there is none.
+func (c *clientConn) reserveHead(bytes int) bool {
+	reserved := c.account.Reserve(bytes)
+	if reserved {
+		c.requestBytes += bytes
+	}
+	return reserved
+}
+
+// reserveBody reserves memory for the body of the current request. It returns false if there is none.
+func (c *clientConn) reserveBody(bytes int) bool {
+	reserved := c.account.ReserveBulk(bytes)
+	if reserved {
+		c.requestBytes += bytes
+	}
+	return reserved
+}
+
+// force counts memory of the current request that is in use already.
+func (c *clientConn) force(bytes int) {
+	c.account.Force(bytes)
+	c.requestBytes += bytes
+}
+
+// release ends the use of memory of the current request.
+func (c *clientConn) release(bytes int) {
+	c.account.Release(bytes)
+	c.requestBytes -= bytes
+}
+
+// isLeaving reports whether the connection no longer counts as open, because it has been shed or its request is being rejected. The
+// caller holds tracker.mu.
+func (c *clientConn) isLeaving() bool { return c.isShed || c.evictedFor != closeUnspecified }
+
+// evictForMemory rejects the request that is being read because memory is short.
+func (c *clientConn) evictForMemory() (evicted bool) {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.list != &c.tracker.readingConns {
+		return false
+	}
+	c.evict(closeMemory)
+	return true
+}
+
+// beginWrite records that a response is being written. The returned function records that it has been written.
+func (c *clientConn) beginWrite() (end func()) {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.addToList(&c.tracker.writingConns)
+	return func() {
+		c.tracker.mu.Lock()
+		defer c.tracker.mu.Unlock()
+		if c.list == &c.tracker.writingConns {
+			c.removeFromList()
+		}
+	}
+}
+
+// abortForMemory ends the writing of a response that the client does not read because memory is short.
+func (c *clientConn) abortForMemory() (aborted bool) {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.list != &c.tracker.writingConns {
+		return false
+	}
+	c.abortWrite(closeMemory)
+	return true
+}
+
+// abortWrite ends the writing of a response that the client does not read, and the reading of further requests. The client can tell that the response is not whole. The caller
+// holds tracker.mu.
+func (c *clientConn) abortWrite(reason closeReason) {
+	c.evict(reason)
+	c.noteReason(reason)
+	c.SetWriteDeadline(time.Unix(1, 0))
+}
+
+// endRequest resets what belongs to one request.
+func (c *clientConn) endRequest() {
+	c.account.Release(c.requestBytes)
+	c.arrivalMu.Lock()
+	c.hasArrived = false
+	c.arrivalMu.Unlock()
+	c.head, c.requestBytes, c.requestBegun, c.requestActive, c.bodyLeft = headScanner{}, 0, false, false, unknownLength
+}
+
+// earlyResponse is a response that is written before a request has been read completely.
+type earlyResponse string
+
+// Responses that reject a request before it has been read completely.
+const (
+	responseBusy          earlyResponse = "503 Service Unavailable"
+	responseTooManyFields earlyResponse = "431 Request Header Fields Too Large"
+)
+
+// earlyResponseTimeout bounds the time to write an earlyResponse. The client has been sent nothing since its last response, so that
+// there is room in its connection unless it has left earlier responses unread.
+const earlyResponseTimeout = 50 * time.Millisecond
+
+// reject writes a response to a request that is being read, and returns io.EOF. The request has not been accepted, so that a status
+// of 503 is right even if the rest of it has arrived.
+func (c *clientConn) reject(response earlyResponse, reason closeReason) error {
+	c.noteReason(reason)
+	c.SetWriteDeadline(time.Now().Add(earlyResponseTimeout))
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+string(response)+"\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "+
+		"0\r\nConnection: close\r\n\r\n") // a client that has disconnected needs no response
+	return io.EOF
+}
+
+// SetReadDeadline sets the deadline of reads, unless a read must end at once because the request is rejected.
+func (c *clientConn) SetReadDeadline(deadline time.Time) error {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.evictedFor != closeUnspecified && c.closingElement == nil {
+		deadline = time.Unix(1, 0)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
--- a/internal/frontend/httpserver/conntracker.go
+++ b/internal/frontend/httpserver/conntracker.go
@@ -9,6 +9,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/logevent"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 )
 
@@ -17,21 +18,31 @@
 	// close it. Some clients never close their connections, so connections that have been idle for this long are shed while
 	// the number of open connections is above half of SheddingThreshold.
 	idleTimeoutMs = 2000
-	// firstByteTimeoutMs is how long, in milliseconds, a new connection may send nothing before it is shed in preference to
-	// idle connections. This shedding happens only while the number of open connections is above SheddingThreshold.
+	// firstByteTimeoutMs is how long, in milliseconds, a new connection may send nothing before it is shed. This shedding happens only
+	// while the number of open connections is above SheddingThreshold.
 	firstByteTimeoutMs = 500
+	// slowRequestMs is how long, in milliseconds, a client may take to send a request before the request may be rejected to make room
+	// for others. Clients on ordinary links send a request of the largest size in less.
+	slowRequestMs = 250
+	// slowResponseMs is how long, in milliseconds, a client may take to read a response before the connection may be closed to make room
+	// for others.
+	slowResponseMs = 2000
 	// closingLimitDivisor limits the number of connections that wait for their clients to close: it is at most
 	// SheddingThreshold / closingLimitDivisor, or 1 if that is less than 1.
 	closingLimitDivisor = 16
 )
 
+// connectionsEvicted counts connections whose requests were rejected before they had been read completely.
+const connectionsEvicted = "client_connections_evicted"
+
 // connectionsShed counts new and idle connections that were shed because of SheddingThreshold, the idle timeout or a shutdown.
 const connectionsShed = "client_connections_shed"
 
 // ConnTracker tracks the client connections of an http.Server. While the number of open connections is above SheddingThreshold,
-// it sheds new and idle ones, so that the connections of clients that send requests can be accepted and read. It sheds a
-// connection only if nothing has been read from it since its last response: a request that has been read is served, and its
-// connection stays open until the response is written. The number of open connections can therefore stay above SheddingThreshold.
+// it makes room, so that the connections of clients that send requests can be accepted and read: it closes idle connections and new ones
+// that send nothing, and then rejects the requests that have been read for longer than slowRequestMs and make the least progress. A
+// connection on which unread bytes wait is never closed without a response, and a request that has been read completely gets its
+// response. The number of open connections can therefore stay above SheddingThreshold.
 //
 // The exported fields are set before use. The methods may be called from any goroutine.
 type ConnTracker struct {
@@ -41,8 +52,10 @@
 	// MaxPipelinedBytes limits the pipelined bytes that are buffered for all connections together. 0 means that only the limit
 	// of each connection applies.
 	MaxPipelinedBytes int
-	Clock             clock.Clock
-	Metrics           *metrics.Registry
+	// Budget bounds the memory of all connections together with that of other users. nil means that there is no bound.
+	Budget  *memorybudget.Budget
+	Clock   clock.Clock
+	Metrics *metrics.Registry
 
 	closeEvents logevent.Limiter
 
@@ -51,11 +64,14 @@
 	pipelinedBytes int       // number of pipelined bytes that are buffered for all connections together
 	newConns       list.List // *clientConn from which nothing has been read, oldest first
 	idleConns      list.List // *clientConn between two requests, longest idle first
+	readingConns   list.List // *clientConn from which a part of a request has been read, in the order of the first bytes
+	writingConns   list.List // *clientConn to which a response is being written, in the order of the first bytes
 	// closingConns holds each *clientConn whose sending side is closed, oldest first. Those that were not shed are still counted
 	// in open until the server reports StateClosed.
-	closingConns      list.List
-	sheddingScheduled bool          // whether a timer is set to call shedScheduled
-	drained           chan struct{} // nil unless draining; closed when no connection is left
+	closingConns list.List
+	sheddingAtMs float64       // time at which shedScheduled will be called; valid if stopShedding is not nil
+	stopShedding func()        // stops the timer that calls shedScheduled; nil if none is set
+	drained      chan struct{} // nil unless draining; closed when no connection is left
 }
 
 type connContextKey struct{}
@@ -77,6 +93,9 @@
 	if !ok {
 		return
 	}
+	if state == http.StateIdle {
+		conn.endRequest()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
@@ -84,17 +103,18 @@
 		t.open++
 		conn.addToList(&t.newConns)
 	case http.StateIdle:
-		conn.requestActive = false
 		// A connection from which part of a further request has been read must not be shed.
-		if !conn.isShed && len(conn.pipelined) == 0 {
+		if !conn.isLeaving() && len(conn.pipelined) == 0 {
 			conn.addToList(&t.idleConns)
 		}
 	case http.StateActive:
 		conn.requestActive, conn.requestBegun = true, false
-		conn.removeFromList()
+		if conn.list != &t.readingConns { // the head came with the end of the last request
+			conn.removeFromList()
+		}
 	case http.StateClosed, http.StateHijacked:
 		conn.removeFromList()
-		if !conn.isShed { // shed has already subtracted it from open
+		if !conn.isLeaving() { // otherwise it has been subtracted from open
 			t.open--
 		}
 	}
@@ -149,55 +169,139 @@
 	}
 }
 
-// shedAboveThreshold sheds connections until the number of open ones is no longer above SheddingThreshold. It first sheds new
-// connections that have sent nothing for firstByteTimeoutMs, then idle connections, then other new connections. It returns false
-// if the number is still above SheddingThreshold because all remaining connections have requests. New clients then have to wait
-// once the limit of the listener (LimitListener) is reached. The caller holds t.mu.
+// shedAboveThreshold makes room until the number of open connections is no longer above SheddingThreshold. It sheds new connections that
+// have sent nothing for firstByteTimeoutMs, then idle connections, and then rejects slow requests. It returns false, and sets a timer, if
+// the number is still above SheddingThreshold. New clients then have to wait once the limit of the listener (LimitListener) is reached.
+// The caller holds t.mu.
 func (t *ConnTracker) shedAboveThreshold(nowMs float64) bool {
 	for t.open > t.SheddingThreshold {
-		oldestNew, oldestIdle := oldest(&t.newConns), oldest(&t.idleConns)
-		switch {
-		case oldestNew != nil && (nowMs-oldestNew.listedAtMs >= firstByteTimeoutMs || oldestIdle == nil):
-			t.shed(oldestNew, closeSilentShed)
-		case oldestIdle != nil:
-			t.shed(oldestIdle, closeIdleShed)
-		default:
+		if !t.shedOne(nowMs) {
+			t.scheduleNextEnd(nowMs)
 			return false
 		}
 	}
 	return true
 }
 
+// scheduleNextEnd sets a timer for the time at which the next connection may be ended. The caller holds t.mu.
+func (t *ConnTracker) scheduleNextEnd(nowMs float64) {
+	if c := oldest(&t.newConns); c != nil {
+		t.scheduleShedding(firstByteTimeoutMs - (nowMs - c.listedAtMs))
+	}
+	if c := oldest(&t.readingConns); c != nil {
+		t.scheduleShedding(slowRequestMs - (nowMs - c.listedAtMs))
+	}
+	if c := oldest(&t.writingConns); c != nil {
+		t.scheduleShedding(slowResponseMs - (nowMs - c.listedAtMs))
+	}
+}
+
+// shedOne closes one connection or rejects one request to make room. It returns false if that is not possible now. The caller holds
+// t.mu.
+func (t *ConnTracker) shedOne(nowMs float64) bool {
+	if c := oldest(&t.newConns); c != nil && nowMs-c.listedAtMs >= firstByteTimeoutMs {
+		t.shed(c, closeSilentShed)
+		return true
+	}
+	if c := oldest(&t.idleConns); c != nil {
+		t.shed(c, closeIdleShed)
+		return true
+	}
+	if c, _ := t.slowestReading(nowMs); c != nil {
+		c.evict(closeSlowRequest)
+		return true
+	}
+	if c := t.slowestWriting(nowMs); c != nil {
+		c.abortWrite(closeUnreadResponse)
+		return true
+	}
+	return false
+}
+
+// slowestWriting returns the connection whose response has been written for the longest time, at least slowResponseMs, or nil if there is
+// none. The caller holds t.mu.
+func (t *ConnTracker) slowestWriting(nowMs float64) *clientConn {
+	if c := oldest(&t.writingConns); c != nil && nowMs-c.listedAtMs >= slowResponseMs {
+		return c
+	}
+	return nil
+}
+
+// slowestReading returns the connection whose request has been read for at least slowRequestMs and makes the least progress, and its
+// progress in bytes per millisecond, or nil if there is none. The caller holds t.mu.
+func (t *ConnTracker) slowestReading(nowMs float64) (slowest *clientConn, bytesPerMs float64) {
+	for element := t.readingConns.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*clientConn)
+		ageMs := nowMs - c.listedAtMs
+		if ageMs < slowRequestMs { // the following ones are younger
+			break
+		}
+		if rate := float64(c.receivedBytes) / ageMs; slowest == nil || rate < bytesPerMs {
+			slowest, bytesPerMs = c, rate
+		}
+	}
+	return slowest, bytesPerMs
+}
+
+// Slowest implements memorybudget.Evictor. Clients that have been reading a response for slowResponseMs come first.
+func (t *ConnTracker) Slowest() (memorybudget.Candidate, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nowMs := t.Clock.NowMs()
+	if c := t.slowestWriting(nowMs); c != nil {
+		return memorybudget.Candidate{Account: c.account, End: c.abortForMemory}, true
+	}
+	c, rate := t.slowestReading(nowMs)
+	if c == nil {
+		return memorybudget.Candidate{}, false
+	}
+	return memorybudget.Candidate{Account: c.account, BytesPerMs: rate, End: c.evictForMemory}, true
+}
+
 // shedIdle sheds connections whose idle timeout has passed while the number of open connections is above half of
 // SheddingThreshold, and sets a timer for the next idle timeout. The caller holds t.mu.
 func (t *ConnTracker) shedIdle(nowMs float64) {
 	for c := oldest(&t.idleConns); c != nil && t.open > t.SheddingThreshold/2; c = oldest(&t.idleConns) {
 		if leftMs := idleTimeoutMs - (nowMs - c.listedAtMs); leftMs > 0 {
-			if !t.sheddingScheduled {
-				t.sheddingScheduled = true
-				t.Clock.AfterFunc(leftMs, t.shedScheduled)
-			}
+			t.scheduleShedding(leftMs)
 			return
 		}
 		t.shed(c, closeIdleShed)
 	}
 }
 
-// shedScheduled sheds connections when the timer of shedIdle fires.
+// scheduleShedding sets a timer that sheds connections, unless one is set for an earlier time. The caller holds t.mu.
+func (t *ConnTracker) scheduleShedding(afterMs float64) {
+	atMs := t.Clock.NowMs() + afterMs
+	if t.stopShedding != nil {
+		if t.sheddingAtMs <= atMs {
+			return
+		}
+		t.stopShedding()
+	}
+	t.sheddingAtMs, t.stopShedding = atMs, t.Clock.AfterFunc(afterMs, t.shedScheduled)
+}
+
+// shedScheduled sheds connections when the timer of scheduleShedding fires.
 func (t *ConnTracker) shedScheduled() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sheddingScheduled = false
+	t.stopShedding = nil
 	t.shedExcess()
 }
 
-// shed closes the sending side of a connection that has no request, for the given reason. The connection itself is closed when its client has closed its
+// shed closes the sending side of a connection that has no request, for the given reason. If a request waits on it unread, the
+// connection stays open, since closing it would lose the request. The connection itself is closed when its client has closed its
 // side, after gracefulclose.TimeoutMs, or when too many connections wait for their clients to close, whichever comes first. The
 // caller holds t.mu.
 func (t *ConnTracker) shed(c *clientConn, reason closeReason) {
-	c.noteReason(reason)
 	c.removeFromList()
-	c.isShed = true
+	if !c.markShed() {
+		c.addToList(&t.readingConns)
+		c.receivedBytes = 0
+		return
+	}
+	c.noteReason(reason)
 	t.open--
 	t.Metrics.Add(connectionsShed, 1)
 	c.closeWrite()
--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -13,6 +13,7 @@
 package httpserver
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -86,12 +87,17 @@
 			panic(http.ErrAbortHandler)
 		}
 		conn.recordRequestID(r)
+		conn.expectBody(r.ContentLength)
 		clientWaiting := func() bool { return r.Context().Err() == nil && !socketstate.PeerClosed(conn.Conn) }
 		defer conn.trackResponse(clientWaiting)()
 	}
 	if h.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength == 0 && !h.take(r) {
+		h.rejectEvicted(w)
+		return
+	}
 	respondByMs := math.Float64frombits(h.respondByMs.Load())
 	if h.serveStatus(w, r, respondByMs) {
 		return
@@ -130,6 +136,10 @@
 // serveRequest parses a request, submits it, and writes its response.
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request, arrivedMs, respondByMs float64) {
 	request, err := h.parseRequest(r)
+	if errors.Is(err, errEvicted) {
+		h.rejectEvicted(w)
+		return
+	}
 	if err != nil {
 		h.rejectMalformed(w, r, err)
 		return
@@ -162,6 +172,12 @@
 	h.awaitResponse(w, r, request, responses)
 }
 
+// take records that a request has been read completely. It returns false if the request must be rejected to make room for others.
+func (h *Handler) take(r *http.Request) bool {
+	conn := clientConnOf(r.Context())
+	return conn == nil || conn.take()
+}
+
 // watchDisconnect sets request.ClientDisconnected. If the client has already disconnected, because the request stayed unread for
 // longer than the client waited, it panics with http.ErrAbortHandler. It must not be called for requests of devices, which
 // continue after a disconnect.
--- a/internal/frontend/httpserver/listener.go
+++ b/internal/frontend/httpserver/listener.go
@@ -5,6 +5,9 @@
 	"sync"
 )
 
+// ConnBytes is the memory of a client's connection without a request: buffers and stacks.
+const ConnBytes = 24 << 10
+
 // LimitListener returns a listener that accepts a connection only while fewer than maxOpen of its connections are open, including
 // those that wait for their clients to close. The http.Server must serve this listener: ConnState ignores other connections.
 // netutil.LimitListener is not suitable, because the sending side of its connections cannot be closed alone.
@@ -33,7 +36,10 @@
 		<-l.slots
 		return nil, err
 	}
-	return &clientConn{Conn: netConn, tracker: l.tracker, acceptedAtMs: l.tracker.Clock.NowMs(), onClosed: func() { <-l.slots }}, nil
+	conn := &clientConn{Conn: netConn, tracker: l.tracker, account: l.tracker.Budget.NewAccount(), bodyLeft: unknownLength,
+		acceptedAtMs: l.tracker.Clock.NowMs(), onClosed: func() { <-l.slots }}
+	conn.account.Force(ConnBytes)
+	return conn, nil
 }
 
 // Close closes the listener. Connections that it has accepted stay open.
--- a/internal/frontend/httpserver/request.go
+++ b/internal/frontend/httpserver/request.go
@@ -126,16 +126,50 @@
 		return nil, link, errBodyTooLarge
 	}
 	reader := &timedReader{reader: r.Body, clock: h.Clock}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, io.NopCloser(reader), httpmessage.MaxBodyBytes))
+	body, err := readAll(reader, int(r.ContentLength), clientConnOf(r.Context()))
+	if errors.Is(err, errEvicted) || err == nil && r.ContentLength > 0 && !h.take(r) {
+		return nil, link, errEvicted
+	}
+	if errors.Is(err, errBodyTooLarge) {
+		return nil, link, errBodyTooLarge
+	}
 	if err != nil {
-		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-			return nil, link, errBodyTooLarge
-		}
 		return nil, link, errors.New("the body is not whole")
 	}
 	return body, reader.sample(), nil
 }
 
+// minBodyBuffer is the size of the buffer in which the first bytes of a body are read.
+const minBodyBuffer = 4 << 10
+
+// readAll reads a body of the given length. The buffer grows with the bytes that have arrived, so that clients that stop early take
+// little memory. The memory is reserved at conn, which may be nil. The error is errEvicted if there is not enough.
+func readAll(reader io.Reader, length int, conn *clientConn) ([]byte, error) {
+	var body []byte
+	for len(body) < length {
+		size := min(length, max(minBodyBuffer, 2*len(body)))
+		if conn != nil && !conn.reserveBody(size) {
+			conn.noteReason(closeMemory)
+			return nil, errEvicted
+		}
+		grown := make([]byte, size)
+		copied := copy(grown, body)
+		n, err := io.ReadFull(reader, grown[copied:])
+		if conn != nil {
+			conn.release(len(body))
+		}
+		body = grown[:copied+n]
+		if err != nil {
+			return nil, err
+		}
+	}
+	var next [1]byte
+	if n, _ := io.ReadFull(reader, next[:]); n > 0 { // net/http ends a body at its length
+		return nil, errBodyTooLarge
+	}
+	return body, nil
+}
+
 // newPayload builds the request that is sent to a server.
 func newPayload(r *http.Request, fields requestparse.Fields, body []byte) *httpmessage.Request {
 	header := http.Header{"X-Correlation-Id": {fields.CorrelationID}}
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -22,7 +22,7 @@
 			h.writeDeviceResponse(w, r, request, response)
 			return
 		}
-		writeBody(w, response.Body.([]byte))
+		h.writeBody(w, r, response.Body.([]byte))
 	case lifecycle.Rejected:
 		writeRejection(w, response.RetryAfterMs)
 	case lifecycle.DuplicateID:
@@ -37,8 +37,13 @@
 	}
 }
 
-// writeBody writes a successful response.
-func writeBody(w http.ResponseWriter, body []byte) {
+// writeBody writes a successful response. The response takes memory until the client has read it, except for the part that the operating
+// system buffers.
+func (h *Handler) writeBody(w http.ResponseWriter, r *http.Request, body []byte) {
+	if conn := clientConnOf(r.Context()); conn != nil {
+		conn.force(len(body))
+		defer conn.beginWrite()()
+	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // a client that has disconnected needs no response
@@ -68,6 +73,13 @@
 	writeRejection(w, h.inboxRetryAfterMs())
 }
 
+// rejectEvicted responds to a request that was not read completely, or not accepted, to make room for others. The server then closes the
+// connection.
+func (h *Handler) rejectEvicted(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	writeRejection(w, h.inboxRetryAfterMs())
+}
+
 // inboxRetryAfterMs returns the delay, in milliseconds, after which the client should retry a request that was not submitted.
 func (h *Handler) inboxRetryAfterMs() float64 {
 	return min(frontend.InboxFullRetryAfterMs, clock.Ms(h.Settings.MaxRetryAfter))
--- a/internal/frontend/httpserver/testserver_test.go
+++ b/internal/frontend/httpserver/testserver_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -80,6 +82,27 @@
 		"X-Plan: basic\r\nX-Time-Left-Ms: 900\r\nX-IO: volume=1,units=1,shard=0,hosts=1\r\n\r\n", id)
 }
 
+// rawPut returns the HTTP text of a valid write request with a body of the given length.
+func rawPut(id, length int) string {
+	return fmt.Sprintf("PUT /push/00000000000000aa HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: id-%d\r\nX-Service-Class: push\r\n"+
+		"X-Plan: basic\r\nX-Time-Left-Ms: 900\r\nIdempotency-Key: k-%d\r\nX-IO: volume=1,units=1,shard=0,hosts=1\r\n"+
+		"Content-Length: %d\r\n\r\n%s", id, id, length, strings.Repeat("b", length))
+}
+
+// awaitReading waits until the given number of connections have sent a part of a request.
+func (s *testServer) awaitReading(t *testing.T, count int) {
+	t.Helper()
+	for {
+		s.tracker.mu.Lock()
+		reading := s.tracker.readingConns.Len()
+		s.tracker.mu.Unlock()
+		if reading == count {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
 // startServerReporting starts a server. reached receives each connection that the server reports to have entered the given state.
 func startServerReporting(t *testing.T, state http.ConnState) (s *testServer, reached chan *clientConn) {
 	t.Helper()
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -7,6 +7,7 @@
 	"gaugerelay/internal/endpointlease"
 	"gaugerelay/internal/eventloop"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/permission"
 	"gaugerelay/internal/scheduler"
@@ -26,6 +27,7 @@
 func New(cfg *config.Config, edge *config.Edge, gatewayClock clock.Clock, network Network) (*Gateway, error) {
 	g := &Gateway{Clock: gatewayClock, Metrics: metrics.New(), cfg: cfg, network: network,
 		failures: make(chan error, maxPendingFailures), pauseDetector: clock.StartPauseDetector(gatewayClock)}
+	g.clientMemory = memorybudget.New(clientMemoryLimit(cfg), g.Metrics)
 	var fleet *fleetMember
 	if edge.Fleet != nil {
 		var err error
@@ -49,7 +51,8 @@
 	}
 	g.loop = eventloop.New(options)
 	g.upstream = httpclient.New(httpclient.Options{ConnectTimeoutMs: cfg.ConnectTimeoutMs, ConnIdleTimeoutMs: cfg.IdleConnTimeoutMs,
-		ReuseDelayMs: reuseDelayMs, MaxConns: maxUpstreamConns(cfg), LoadReportFields: cfg.Settings.LoadReportFields, Dial: network.Dial},
+		ReuseDelayMs: reuseDelayMs, MaxConns: maxUpstreamConns(cfg), LoadReportFields: cfg.Settings.LoadReportFields, Dial: network.Dial,
+		Memory: g.clientMemory},
 		gatewayClock, g.Metrics, g.loop)
 	g.watcher = discovery.New(discovery.Options{Addr: cfg.Discovery, CachedEndpoints: cfg.KnownEndpoints, Clock: gatewayClock,
 		Metrics: g.Metrics, Notify: g.loop.UpdateEndpoints, Dial: network.Dial})
--- a/internal/gateway/component.go
+++ b/internal/gateway/component.go
@@ -12,6 +12,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
 	"gaugerelay/internal/frontend/accept"
+	"gaugerelay/internal/frontend/httpserver"
 	"gaugerelay/internal/logevent"
 )
 
@@ -42,8 +43,15 @@
 
 // The following limits divide the sockets that the process may have open between frontends and upstreams.
 
-// maxClientConns returns the limit on HTTP connections from the platform's clients.
-func maxClientConns(cfg *config.Config) int { return max(1, cfg.MaxSockets*3/8) }
+// maxClientConns returns the limit on HTTP connections from the platform's clients. Without requests, the connections take half of
+// the memory for clients at most.
+func maxClientConns(cfg *config.Config) int {
+	conns := max(1, cfg.MaxSockets*3/8)
+	if limit := clientMemoryLimit(cfg); limit > 0 {
+		conns = min(conns, max(1, int(limit/2/httpserver.ConnBytes)))
+	}
+	return conns
+}
 
 // maxUpstreamConns returns the limit on HTTP connections to servers.
 func maxUpstreamConns(cfg *config.Config) int { return cfg.MaxSockets / 2 }
--- a/internal/gateway/devicefrontend.go
+++ b/internal/gateway/devicefrontend.go
@@ -66,7 +66,9 @@
 	if options.HTTP != "" {
 		f.http = &httpserver.Handler{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
 			Settings: &g.cfg.Settings, ServesDevices: true, GatewayName: gatewayName}
-		f.conns = &httpserver.ConnTracker{SheddingThreshold: sheddingThreshold(options.MaxConns), Clock: g.Clock, Metrics: g.Metrics}
+		f.conns = &httpserver.ConnTracker{SheddingThreshold: sheddingThreshold(options.MaxConns), Clock: g.Clock, Metrics: g.Metrics,
+			Budget: g.clientMemory}
+		g.clientMemory.AddEvictor(f.conns)
 	}
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"gaugerelay/internal/eventloop"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/logevent"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/upstream/httpclient"
@@ -51,8 +52,9 @@
 	watcher       *discovery.Watcher
 	pauseDetector *clock.PauseDetector
 	memory        *memoryMonitor // nil until Start
-	components    []component    // in start order
-	failures      chan error     // errors of components that have ended unexpectedly
+	clientMemory  *memorybudget.Budget
+	components    []component // in start order
+	failures      chan error  // errors of components that have ended unexpectedly
 
 	longestDeadline, shortestDeadline time.Duration // longest and shortest deadline of all classes
 
--- a/internal/gateway/memorymonitor.go
+++ b/internal/gateway/memorymonitor.go
@@ -18,6 +18,29 @@
 	bytesPerMB         = 1 << 20
 )
 
+// The platform's memory limit is divided as follows. The pages of the program and what the operating system keeps for the process take
+// programBytes. The runtime gets the rest but for a margin, which it may exceed its own limit by. Unanswered data of clients gets a part
+// of the runtime's memory, since the garbage collector needs room.
+const (
+	programBytes         = 9 << 20
+	runtimeMargin        = 1.0 / 8 // fraction of the platform's limit
+	clientMemoryFraction = 0.45    // fraction of the runtime's limit
+	minRuntimeBytes      = 8 << 20
+)
+
+// RuntimeMemoryLimit returns the memory in bytes that the runtime may use, or 0 for no limit. It is meant for debug.SetMemoryLimit.
+func RuntimeMemoryLimit(cfg *config.Config) int64 {
+	if cfg.MemoryMB <= 0 {
+		return 0
+	}
+	return max(minRuntimeBytes, int64(cfg.MemoryMB*bytesPerMB*(1-runtimeMargin))-programBytes)
+}
+
+// clientMemoryLimit returns the memory in bytes that unanswered data of clients may take, or 0 for no limit.
+func clientMemoryLimit(cfg *config.Config) int64 {
+	return int64(clientMemoryFraction * float64(RuntimeMemoryLimit(cfg)))
+}
+
 // Names of gauges.
 const (
 	gaugeMemoryUsed  = "memory_used_bytes_now"
--- a/internal/socketstate/socketstate.go
+++ b/internal/socketstate/socketstate.go
@@ -1,12 +1,16 @@
-// Package socketstate asks the kernel about the state of a connection without reading from it.
+// Package socketstate asks the kernel about the state of a connection without reading from it, and reads from a connection so that its
+// state cannot change unnoticed.
 //
 // A connection that is not a socket, such as one of net.Pipe, is reported as open and without unread data. The package has no
 // state and starts no goroutine, and its functions are safe for concurrent use.
 package socketstate
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -39,6 +43,42 @@
 	}
 }
 
+// ReadLocked reads from a socket like net.Conn.Read. Each system call that may return bytes runs while lock is held, and onData is
+// called with the number of bytes before lock is released, so that no other holder of the lock sees bytes that are neither unread nor
+// reported.
+func ReadLocked(conn syscall.Conn, p []byte, lock sync.Locker, onData func(n int)) (n int, err error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	rawErr := raw.Read(func(descriptor uintptr) bool {
+		lock.Lock()
+		defer lock.Unlock()
+		if n, err = readRetryingEINTR(int(descriptor), p); n > 0 {
+			onData(n)
+		}
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	switch {
+	case rawErr != nil:
+		return 0, rawErr
+	case err != nil:
+		return 0, os.NewSyscallError("read", err)
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readRetryingEINTR calls read(2), and repeats the call if a signal interrupts it.
+func readRetryingEINTR(descriptor int, p []byte) (n int, err error) {
+	for {
+		if n, err = syscall.Read(descriptor, p); err != syscall.EINTR {
+			return max(0, n), err
+		}
+	}
+}
+
 // PeerClosed reports whether the peer has shut down its sending side or reset the connection. Unlike a read, it detects that
 // even while unread bytes precede the end. It returns true for a connection that is closed on this side. It does not block.
 func PeerClosed(conn net.Conn) bool {
--- a/internal/upstream/httpclient/attempt.go
+++ b/internal/upstream/httpclient/attempt.go
@@ -73,13 +73,23 @@
 		return lifecycle.AttemptResult{Status: c.statusWithoutResponse(ctx, attempt)}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, httpmessage.MaxBodyBytes+1))
+	body, err := c.readBody(response)
 	if err != nil {
 		return lifecycle.AttemptResult{Status: c.statusWithoutResponse(ctx, attempt)}
 	}
 	return c.readResult(response, body)
 }
 
+// readBody reads the body of a response, or as much of one that is too large as shows that.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	memory := c.options.Memory.NewAccount()
+	defer memory.Close()
+	memory.Force(int(max(0, response.ContentLength)))
+	body := bytes.NewBuffer(make([]byte, 0, max(0, response.ContentLength)+bytes.MinRead)) // with room for the read that finds the end
+	_, err := body.ReadFrom(io.LimitReader(response.Body, httpmessage.MaxBodyBytes+1))
+	return body.Bytes(), err
+}
+
 // newRequest builds the request of an attempt. When the transport chooses a connection for the request, attempt.conn is set to it.
 func newRequest(ctx context.Context, attempt *attemptState) *http.Request {
 	payload := attempt.Request.Payload.(*httpmessage.Request)
--- a/internal/upstream/httpclient/client.go
+++ b/internal/upstream/httpclient/client.go
@@ -22,6 +22,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/upstream"
@@ -58,6 +59,8 @@
 	// ReuseDelayMs is the minimum time between the end of a response and the next request on the same connection. It is longer for
 	// servers that have recently sent unsolicited data.
 	ReuseDelayMs float64
+	// Memory bounds the memory of responses together with that of clients' requests. nil means that there is no bound.
+	Memory *memorybudget.Budget
 	// Dial opens connections. If it is nil, the network of this machine is used.
 	Dial upstream.DialFunc
 }
--- a/internal/upstream/httpclient/conn.go
+++ b/internal/upstream/httpclient/conn.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"gaugerelay/internal/socketstate"
 )
 
 // responseTimeoutMs bounds the time from the first to the last byte of a response. Servers send a response without pauses.
@@ -163,36 +163,7 @@
 	if !ok {
 		return c.Conn.Read(p)
 	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	rawErr := raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if n, err = readRetryingEINTR(int(fd), p); n > 0 {
-			c.rejectUnsolicited()
-		}
-		return !errors.Is(err, syscall.EAGAIN)
-	})
-	switch {
-	case rawErr != nil:
-		return 0, rawErr
-	case err != nil:
-		return 0, os.NewSyscallError("read", err)
-	case n == 0 && len(p) > 0:
-		return 0, io.EOF
-	}
-	return n, nil
-}
-
-// readRetryingEINTR calls read(2), and repeats the call if a signal interrupts it.
-func readRetryingEINTR(fd int, p []byte) (n int, err error) {
-	for {
-		if n, err = syscall.Read(fd, p); err != syscall.EINTR {
-			return n, err
-		}
-	}
+	return socketstate.ReadLocked(syscallConn, p, &c.mu, func(int) { c.rejectUnsolicited() })
 }
 
 // timeOutResponse closes the connection if the awaited response is still incomplete.
