Run a request once though its client has left and sends its id again

The keys are recognized within a shard only.

Cause: the gateway forgot a request as soon as its client had left and its attempt had ended, though the attempt may have been executed. The same id was then a new request with shard -1, which went to whatever shard had the least load.

A repetition with the same key runs at the shard of the first attempt, until the window of that attempt ends; any other, and one of a class that must run once, gets 409. Classes whose requests may run any number of times are as before.

Why it works: a second execution is possible only where the server drops it by its key. A repetition through another gateway is not covered: gateways cannot know of each other's requests, and by the protocol each request has a fresh id, a client's retry included.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -17,6 +17,7 @@
 	"gaugerelay/internal/endpointlease"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/metrics"
+	"gaugerelay/internal/scheduler"
 )
 
 const (
@@ -40,6 +41,9 @@
 	EndpointLease *endpointlease.Lease
 	Authorizer    *lifecycle.Authorizer
 
+	// Classes are the classes of requests in the settings.
+	Classes []scheduler.Class
+
 	// WatchEndpoints starts a watch of the endpoint list.
 	WatchEndpoints func()
 	// ProbeServer starts a probe of a server. Its result must be passed to Loop.ProbeEnded once.
@@ -88,6 +92,7 @@
 		Peers:         options.Peers,
 		EndpointLease: options.EndpointLease,
 		Authorizer:    options.Authorizer,
+		Classes:       options.Classes,
 		TraceRequests: slog.Default().Enabled(context.Background(), slog.LevelDebug),
 	})
 	return l
--- a/internal/frontend/requestparse/request.go
+++ b/internal/frontend/requestparse/request.go
@@ -58,12 +58,13 @@
 		return nil, nil, errors.New("unknown plan")
 	}
 	request := &lifecycle.Request{
-		ClientID:    fields.CorrelationID,
-		Class:       class.Name,
-		Plan:        fields.Plan,
-		Key:         objectKey,
-		RemainingMs: float64(fields.RemainingMs),
-		IsRetry:     fields.IsRetry,
+		ClientID:       fields.CorrelationID,
+		Class:          class.Name,
+		Plan:           fields.Plan,
+		Key:            objectKey,
+		IdempotencyKey: fields.IdempotencyKey,
+		RemainingMs:    float64(fields.RemainingMs),
+		IsRetry:        fields.IsRetry,
 	}
 	if err := parseIO(request, fields.IO); err != nil {
 		return nil, nil, fmt.Errorf("X-IO: %w", err)
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -86,6 +86,7 @@
 		Authorizer: lifecycle.NewAuthorizer(lifecycle.AuthorizerOptions{
 			WaitForUpdates: g.waitForEndpointUpdates, OnDenied: g.countDenied}),
 		WatchEndpoints: func() { g.watcher.Open(g.ctx) },
+		Classes:        g.cfg.Settings.Classes,
 		ProbeServer:    func(server *lifecycle.Server) { g.upstream.Probe(server) },
 		OnReady:        g.notifyReady}
 	if g.cfg.Settings.PollEndpoints {
--- a/internal/lifecycle/attempts.go
+++ b/internal/lifecycle/attempts.go
@@ -153,14 +153,14 @@
 		ForeignUnits:   result.ForeignUnits,
 		LoadReport:     result.LoadReport,
 	})
-	m.releaseIfDone(state)
+	m.releaseIfDone(nowMs, state)
 }
 
 // finish responds to an open request. It has no effect on a request that is done.
-func (m *Manager) finish(id scheduler.RequestID, response Response) {
+func (m *Manager) finish(nowMs float64, id scheduler.RequestID, response Response) {
 	if state := m.requests[id]; state != nil && !state.done {
 		m.respond(state, response)
-		m.releaseIfDone(state)
+		m.releaseIfDone(nowMs, state)
 	}
 }
 
@@ -180,9 +180,13 @@
 }
 
 // releaseIfDone deletes the state of a request that is done and has no attempt in flight.
-func (m *Manager) releaseIfDone(state *requestState) {
-	if state.done && state.inFlight == 0 {
-		delete(m.requests, state.request.id)
-		delete(m.requestsByClientID, state.request.ClientID)
+func (m *Manager) releaseIfDone(nowMs float64, state *requestState) {
+	if !state.done || state.inFlight > 0 {
+		return
+	}
+	delete(m.requests, state.request.id)
+	delete(m.requestsByClientID, state.request.ClientID)
+	if first := state.firstPossiblyExecuted(); first != nil {
+		m.executed.remember(nowMs, state.request, first)
 	}
 }
--- /dev/null
+++ b/internal/lifecycle/executed_test.go
@@ -0,0 +1,69 @@
+package lifecycle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gaugerelay/internal/scheduler"
+)
+
+// Guards against requests that run twice because their client has left and sends them again under the same id.
+func TestRepeatedRequestsRunOnce(t *testing.T) {
+	const nowMs, shard = 1e6, 3
+	class := func(name string, idempotency scheduler.Idempotency, scope scheduler.DedupScope) scheduler.Class {
+		return scheduler.Class{Name: name, Idempotency: idempotency, DedupScope: scope, DedupWindow: 2 * time.Second, Deadline: time.Second}
+	}
+	classes := []scheduler.Class{
+		class("read", scheduler.Idempotent, scheduler.DedupAll),
+		class("keyed", scheduler.IdempotentWithKey, scheduler.DedupShard),
+		class("keyed-zone", scheduler.IdempotentWithKey, scheduler.DedupZone),
+		class("keyed-all", scheduler.IdempotentWithKey, scheduler.DedupAll),
+		class("once", scheduler.NotIdempotent, scheduler.DedupAll),
+	}
+	for _, test := range []struct {
+		name, class, key, repeatedKey string
+		repeatedShard                 int
+		afterMs                       float64
+		admitted                      bool
+		shard                         int
+	}{
+		{"a read", "read", "", "", anyShard, 100, true, anyShard},
+		{"to any shard", "keyed", "k", "k", anyShard, 100, true, shard},
+		{"to the same shard", "keyed", "k", "k", shard, 100, true, shard},
+		{"to another shard", "keyed", "k", "k", 1, 100, false, 0},
+		{"with another key", "keyed", "k", "l", anyShard, 100, false, 0},
+		{"at the end of the window", "keyed", "k", "k", anyShard, 2000 - repetitionMarginMs, false, 0},
+		{"after the window", "keyed", "k", "k", anyShard, 2500, false, 0},
+		{"forgotten", "keyed", "k", "k", anyShard, 3500, true, anyShard},
+		{"recognized in a zone", "keyed-zone", "k", "k", shard, 100, false, 0},
+		{"recognized everywhere", "keyed-all", "k", "k", anyShard, 100, true, anyShard},
+		{"not idempotent", "once", "", "", shard, 100, false, 0},
+	} {
+		executed := newExecutedRequests(classes)
+		first := &attemptState{server: &Server{Shard: shard}, sentMs: nowMs - 200}
+		executed.remember(nowMs, &Request{ClientID: "id", Class: test.class, IdempotencyKey: test.key}, first)
+		repeated := &Request{ClientID: "id", Class: test.class, IdempotencyKey: test.repeatedKey, Shard: test.repeatedShard, RemainingMs: 1e5}
+		admitted := executed.admit(nowMs-200+test.afterMs, repeated)
+		if admitted != test.admitted || admitted && repeated.Shard != test.shard {
+			t.Errorf("%s: admitted is %v with shard %d, want %v with %d", test.name, admitted, repeated.Shard, test.admitted, test.shard)
+		}
+		if test.class == "keyed" && admitted && test.afterMs < 3000 && repeated.RemainingMs > 2000-repetitionMarginMs-test.afterMs {
+			t.Errorf("%s: the remaining time is %v ms, want it to end with the window", test.name, repeated.RemainingMs)
+		}
+	}
+}
+
+func TestExecutedRequestsAreBounded(t *testing.T) {
+	executed := newExecutedRequests([]scheduler.Class{{Name: "once", Idempotency: scheduler.NotIdempotent, Deadline: time.Second}})
+	first := &attemptState{server: &Server{}}
+	for number := range maxExecutedRequests + 10 {
+		executed.remember(0, &Request{ClientID: fmt.Sprint(number), Class: "once"}, first)
+	}
+	if count := len(executed.byClientID); count != maxExecutedRequests || len(executed.oldestFirst) != count {
+		t.Errorf("%d requests are remembered by id and %d by time, want %d", count, len(executed.oldestFirst), maxExecutedRequests)
+	}
+	if executed.admit(0, &Request{ClientID: fmt.Sprint(maxExecutedRequests), Class: "once"}) {
+		t.Error("a late request may be repeated, want the oldest ones forgotten first")
+	}
+}
--- a/internal/lifecycle/manager.go
+++ b/internal/lifecycle/manager.go
@@ -21,6 +21,8 @@
 	EndpointLease *endpointlease.Lease
 	// Authorizer authorizes the first byte of each attempt. nil means NewAuthorizer(AuthorizerOptions{}).
 	Authorizer *Authorizer
+	// Classes are the classes of requests in the settings.
+	Classes []scheduler.Class
 	// TraceRequests enables Environment.Trace.
 	TraceRequests bool
 }
@@ -44,6 +46,7 @@
 	// requestsByClientID holds the states of the requests that have a ClientID, by ClientID.
 	requestsByClientID map[string]*requestState
 	lastRequestID      scheduler.RequestID
+	executed           *executedRequests
 
 	servers      map[scheduler.ServerID]*Server
 	serverIDs    map[string]scheduler.ServerID
@@ -76,6 +79,7 @@
 		traceRequests:      options.TraceRequests,
 		requests:           map[scheduler.RequestID]*requestState{},
 		requestsByClientID: map[string]*requestState{},
+		executed:           newExecutedRequests(options.Classes),
 		servers:            map[scheduler.ServerID]*Server{},
 		serverIDs:          map[string]scheduler.ServerID{},
 	}
@@ -101,9 +105,10 @@
 		m.deduplicator.Submit(nowMs, request)
 		return
 	}
-	if request.ClientID != "" && m.requestsByClientID[request.ClientID] != nil {
-		// Servers identify requests by ClientID, so a server could take this request for the open one. The client of the open
-		// request must get the response to its own request only.
+	// Servers identify requests by ClientID, so a server could take this request for an open one. The client of the open request must get
+	// the response to its own request only. And a request that has ended must not be executed a second time.
+	isOpen := request.ClientID != "" && m.requestsByClientID[request.ClientID] != nil
+	if isOpen || !m.executed.admit(nowMs, request) {
 		m.environment.Count(counterRequestsDuplicate)
 		request.Respond(Response{Kind: DuplicateID})
 		return
@@ -162,7 +167,7 @@
 	m.environment.Count(counterRequestsCanceled)
 	m.traceCanceled(request)
 	m.pendingEvents = append(m.pendingEvents, scheduler.RequestCanceled{ID: request.id})
-	m.releaseIfDone(state)
+	m.releaseIfDone(nowMs, state)
 }
 
 // BeginShutdown reports that the gateway is shutting down and must respond to every open request by deadlineMs. The deadline also
@@ -192,9 +197,9 @@
 	case scheduler.Send:
 		m.startAttempt(nowMs, action)
 	case scheduler.Reject:
-		m.finish(action.ID, Response{Kind: Rejected, RetryAfterMs: clock.Ms(action.RetryAfter), Reason: action.Reason})
+		m.finish(nowMs, action.ID, Response{Kind: Rejected, RetryAfterMs: clock.Ms(action.RetryAfter), Reason: action.Reason})
 	case scheduler.Fail:
-		m.finish(action.ID, Response{Kind: Failed, Reason: action.Reason})
+		m.finish(nowMs, action.ID, Response{Kind: Failed, Reason: action.Reason})
 	case scheduler.CancelAttempt:
 		m.cancelAttempt(action)
 	case scheduler.WatchEndpoints:
--- a/internal/lifecycle/request.go
+++ b/internal/lifecycle/request.go
@@ -17,6 +17,8 @@
 	Volume uint64
 	// Key is the key of the data that the request accesses, or scheduler.NoKey.
 	Key uint64
+	// IdempotencyKey is the key by which servers recognize repetitions of the request. The empty string means that there is none.
+	IdempotencyKey string
 	// RemainingMs is the time from the submission of the request to the client's deadline.
 	RemainingMs float64
 	// ClientDelayMs is the time that the request took to arrive, which counts against the client's time. 0 means unknown.
--- a/internal/testbed/chaos/behavior.go
+++ b/internal/testbed/chaos/behavior.go
@@ -16,11 +16,15 @@
 	corruptResponses           // some responses are malformed or stay incomplete
 	repeatResponses            // some responses are sent a second time, some milliseconds later
 	refuseConnections          // new connections are reset, and idle ones closed
+	serveSlowly                // every request takes slowServiceTime; not drawn as a fault
 	behaviorCount
 )
 
+// drawnBehaviorCount is the number of behaviors that faults draw from, including behaveNormally, which is not drawn.
+const drawnBehaviorCount = int(serveSlowly)
+
 var behaviorNames = [behaviorCount]string{"normal", "hang", "fail requests", "break connections", "corrupt responses",
-	"repeat responses", "refuse connections"}
+	"repeat responses", "refuse connections", "serve slowly"}
 
 func (b behavior) String() string {
 	if b < behaviorCount {
@@ -41,6 +45,9 @@
 // truncatedResponseTime is how long a server keeps a connection open after an incomplete response.
 const truncatedResponseTime = time.Second
 
+// slowServiceTime is the time that a server takes for each request while it serves slowly.
+const slowServiceTime = 20 * time.Millisecond
+
 // meanServiceMs is the mean time in milliseconds that a server takes for a request of meanUnits.
 const meanServiceMs = 4
 
--- a/internal/testbed/chaos/server.go
+++ b/internal/testbed/chaos/server.go
@@ -230,6 +230,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.duration = time.Duration(s.random.ExpFloat64() * meanServiceMs * a.units / meanUnits * float64(time.Millisecond))
+	if e.behavior == serveSlowly {
+		e.duration = slowServiceTime
+	}
 	e.chance = s.random.Float64()
 	e.rejected = s.draining && s.rejectRequests
 	if !e.rejected {
--- a/internal/testbed/chaos/serverfaults.go
+++ b/internal/testbed/chaos/serverfaults.go
@@ -118,7 +118,7 @@
 
 // changeServerBehavior makes a server misbehave for a while.
 func changeServerBehavior(h *harness, random *rand.Rand) {
-	misbehavior := behavior(1 + random.IntN(int(behaviorCount)-1))
+	misbehavior := behavior(1 + random.IntN(drawnBehaviorCount-1))
 	duration := randomDuration(random, 200*time.Millisecond, 4*time.Second)
 	h.mu.Lock()
 	s := h.current[random.IntN(h.options.Shards)]
