Bound the scheduler's state of volumes, keys and arrivals under ever new names

What was seen: reading for maps that clients' words fill found three that only time empties; in a test of 10 s with 40,000 requests, each of a new volume, the state of 40,000 volumes and 40,000 arrivals was kept. At the rate of one flood that is 300 MB in a minute.

Cause: the state of a volume was kept for a minute or more after its last request, whatever the number of volumes. The retry budget stored each arrival, and dropped old ones only when a retry was considered, so that without failures the list never shrank. Keys with a cooldown were kept for up to 15 s.

Change: 8,192 volumes at most; beyond, the one whose last request is the longest ago is dropped. Its limit may have been used, so that the limits of volumes that are new after that begin empty: the limit holds, and a flood costs new limited volumes their burst. The budget counts arrivals by the time of their step and drops them as they leave the window. Idle keys are dropped beyond 4,096.

Result: TestStateIsBoundedUnderNewNames failed before with the numbers above and passes; golden decisions are unchanged. Looked at and bounded already: exchange store, file history, quota pools, unsolicited senders, endpoint and incarnation tables.

--- a/internal/scheduler/retrybudget.go
+++ b/internal/scheduler/retrybudget.go
@@ -9,14 +9,36 @@
 	minimum float64       // retries allowed per window even if no request arrives
 	ratio   float64       // additional retries allowed per request in the window
 
-	arrivals []time.Duration // clock times of the arrivals of requests, oldest first
-	retries  []time.Duration // clock times of the retries, oldest first
+	arrivals     []arrivalCount  // arrivals of requests, oldest first
+	arrivalCount int             // sum of the counts in arrivals
+	retries      []time.Duration // clock times of the retries, oldest first
 }
 
-// recordArrival counts the arrival of a request.
+// arrivalCount is the number of requests that have arrived at one clock time.
+type arrivalCount struct {
+	at    time.Duration
+	count int
+}
+
+// recordArrival counts the arrival of a request, and drops the arrivals that have left the window.
 func (b *retryBudget) recordArrival(now time.Duration) {
-	if b.window > 0 {
-		b.arrivals = append(b.arrivals, now)
+	if b.window == 0 {
+		return
+	}
+	b.dropArrivals(now)
+	if last := len(b.arrivals) - 1; last >= 0 && b.arrivals[last].at == now {
+		b.arrivals[last].count++
+	} else {
+		b.arrivals = append(b.arrivals, arrivalCount{at: now, count: 1})
+	}
+	b.arrivalCount++
+}
+
+// dropArrivals drops the arrivals whose age has reached the window.
+func (b *retryBudget) dropArrivals(now time.Duration) {
+	for len(b.arrivals) > 0 && now-b.arrivals[0].at >= b.window {
+		b.arrivalCount -= b.arrivals[0].count
+		b.arrivals = b.arrivals[1:]
 	}
 }
 
@@ -33,11 +55,9 @@
 	if b.window == 0 {
 		return true
 	}
-	for len(b.arrivals) > 0 && now-b.arrivals[0] >= b.window {
-		b.arrivals = b.arrivals[1:]
-	}
+	b.dropArrivals(now)
 	for len(b.retries) > 0 && now-b.retries[0] > b.window {
 		b.retries = b.retries[1:]
 	}
-	return float64(len(b.retries)+1) <= b.minimum+b.ratio*float64(len(b.arrivals))
+	return float64(len(b.retries)+1) <= b.minimum+b.ratio*float64(b.arrivalCount)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 package scheduler
 
 import (
+	"container/list"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -31,6 +32,8 @@
 	volumeIdleTimeout = time.Minute
 	// evictionInterval is the shortest time between two scans for idle state.
 	evictionInterval = volumeIdleTimeout / 4
+	// maxIdleKeys is the number of keys without open requests beyond which idle state is dropped at once.
+	maxIdleKeys = 4096
 	// maxFairShareWeight is the largest FairShareWeight that reservedQueueTimeoutFactor uses. A larger one counts as this value.
 	maxFairShareWeight = 0.5
 )
@@ -54,6 +57,8 @@
 	requests         map[RequestID]*request   // requests that are unfinished or have outstanding attempts
 	longestRemaining map[*Class]time.Duration // largest sum of Remaining and ClientDelay of a request without IsFirstAttempt, by class
 	volumes          map[VolumeID]*volumeEntry
+	recentVolumes    list.List     // *volumeEntry of all volumes, in the order of their last requests
+	limitsUsedUpAt   time.Duration // clock time at which the state of a volume with a used limit was dropped last; 0: never
 	servers          map[ServerID]*serverEntry
 	shards           []*shard
 	activeShards     []*shard // shards with flows, in the order in which they became active
@@ -236,13 +241,13 @@
 // evictIdle drops the state of keys whose cooldown is over and of volumes for which volumeEntry.isIdle holds. Without eviction, a
 // client that names a new volume in each request would exhaust the memory.
 func (s *Scheduler) evictIdle() {
-	if s.now-s.lastEvictionAt < evictionInterval {
+	if s.now-s.lastEvictionAt < evictionInterval && len(s.keyOrder.queues) <= maxIdleKeys+len(s.requests) {
 		return
 	}
 	s.lastEvictionAt = s.now
-	for id, volume := range s.volumes {
+	for _, volume := range s.volumes {
 		if volume.isIdle(s.now) {
-			delete(s.volumes, id)
+			s.dropVolume(volume)
 		}
 	}
 	s.keyOrder.evictIdle(s.now)
--- a/internal/scheduler/volumes.go
+++ b/internal/scheduler/volumes.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"container/list"
 	"math"
 	"time"
 )
@@ -15,6 +16,8 @@
 	// minImplausibleUnits is the smallest number of units that is not plausible. Requests with so many units are rejected, and
 	// servers' reports of so many are ignored.
 	minImplausibleUnits = 1e9
+	// maxVolumes bounds the number of volumes whose state is kept. Clients choose the volumes that they name.
+	maxVolumes = 8192
 )
 
 // volumeEntry is the state of a volume at this gateway, over all shards.
@@ -25,6 +28,8 @@
 	baseline      tokenBucket // this gateway's share of Plan.Rate
 	limit         tokenBucket // this gateway's share of Plan.Limit
 	lastRequestAt time.Duration
+	id            VolumeID
+	recency       *list.Element // element of Scheduler.recentVolumes
 
 	localUnits     float64 // units served through this gateway; decays with usageHalfLife
 	foreignUnits   float64 // units served through other gateways according to servers' reports; decays with usageHalfLife
@@ -42,9 +47,12 @@
 	}
 	volume := s.volumes[arrival.Volume]
 	if volume == nil {
+		s.makeRoomForVolume()
 		volume = s.newVolumeEntry(plan, gateways)
+		volume.id, volume.recency = arrival.Volume, s.recentVolumes.PushBack(volume)
 		s.volumes[arrival.Volume] = volume
 	}
+	s.recentVolumes.MoveToBack(volume.recency)
 	if gateways > volume.gateways { // more gateways receive requests of the volume, so each has a smaller share
 		volume.gateways = gateways
 		volume.limit.resize(s.now, min(volume.limit.rate, plan.Limit/gateways), min(volume.limit.capacity, plan.LimitBurst/gateways))
@@ -54,8 +62,29 @@
 	return volume
 }
 
+// makeRoomForVolume drops the state of the volume whose last request is the longest ago if there are too many. It may come again, so that
+// the limits of new volumes are treated as used up at this moment from then on (see newVolumeEntry). Requests that are still open keep the
+// state of their volume.
+func (s *Scheduler) makeRoomForVolume() {
+	if len(s.volumes) < maxVolumes {
+		return
+	}
+	oldest := s.recentVolumes.Front().Value.(*volumeEntry)
+	if !oldest.isRestored(s.now) {
+		s.limitsUsedUpAt = s.now
+	}
+	s.dropVolume(oldest)
+}
+
+// dropVolume drops the state of a volume.
+func (s *Scheduler) dropVolume(volume *volumeEntry) {
+	delete(s.volumes, volume.id)
+	s.recentVolumes.Remove(volume.recency)
+}
+
 // newVolumeEntry returns the state of a volume without requests. The bucket of the volume's limit is treated as empty at the
-// gateway's start and as filling since then, because a previous process of the gateway may have emptied it just before.
+// gateway's start, or when the state of a volume was dropped early, and as filling since then: a previous process of the gateway, or
+// the dropped state, may have emptied it just before.
 func (s *Scheduler) newVolumeEntry(plan *Plan, gateways float64) *volumeEntry {
 	share := s.settings.InitialQuotaShare
 	return &volumeEntry{
@@ -63,7 +92,7 @@
 		gateways: gateways,
 		reserve:  newFullTokenBucket(plan.Reserve/gateways, plan.Reserve/gateways+s.settings.MaxUnits, s.now),
 		baseline: newFullTokenBucket(plan.Rate/gateways, plan.Rate/gateways+s.settings.MaxUnits, s.now),
-		limit:    newTokenBucket(plan.Limit/gateways*share, plan.LimitBurst/gateways*share, s.startedAt),
+		limit:    newTokenBucket(plan.Limit/gateways*share, plan.LimitBurst/gateways*share, max(s.startedAt, s.limitsUsedUpAt)),
 	}
 }
 
@@ -75,7 +104,12 @@
 // isIdle reports whether the state of the volume can be dropped: it has had no request for volumeIdleTimeout, and the bucket
 // of its limit is full or it has no limit.
 func (v *volumeEntry) isIdle(now time.Duration) bool {
-	return now-v.lastRequestAt > volumeIdleTimeout && (v.plan.Limit == 0 || v.limit.available(now) >= v.limit.capacity)
+	return now-v.lastRequestAt > volumeIdleTimeout && v.isRestored(now)
+}
+
+// isRestored reports whether the bucket of the volume's limit is full, or the volume has no limit.
+func (v *volumeEntry) isRestored(now time.Duration) bool {
+	return v.plan.Limit == 0 || v.limit.available(now) >= v.limit.capacity
 }
 
 // validUnits reports whether a number of units is plausible: not NaN, not negative and below minImplausibleUnits.
