Count the memory of file commands and devices against the same budget

What was seen: by reading for the fault of the HTTP frontends in the others. A file client that announces a packet makes the library take its whole length at once, 68 KiB, before a byte of it has come; a device that announces a message makes its buffer grow to the message's length; both may then stop, for 10 s or an idle timeout. The exchange store holds up to max_held_bytes whatever memory_mb is. With the connections that an operator may allow (4,096 file clients) that is 270 MB. Not reproduced on a process.

Change: connections, packets from their length to the writing of their response (with the largest response for a READ), and buffers of incomplete messages count against the budget of clients' memory. Under pressure, packets and messages that have been arriving for 0.25 s with the least progress end their connection. Without memory, a file client waits for up to 2.5 s, and a device gets an Abort. The exchange store takes a quarter of the clients' memory at most. Counters for each.

Result: TestIncompletePacketsMakeRoom and TestIncompleteFramesMakeRoom pass; both need the budget to pass at all.

--- a/internal/frontend/coapserver/conn.go
+++ b/internal/frontend/coapserver/conn.go
@@ -11,12 +11,14 @@
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 )
 
 // conn is the connection of a device. One goroutine runs serve. A second one runs writeLoop while messages are queued.
 type conn struct {
 	server  *Server
 	netConn net.Conn
+	account *memorybudget.Account
 
 	// The fields of this block are used only by the goroutine that runs serve.
 	buf         []byte
@@ -31,6 +33,8 @@
 	earliestSendTime time.Time
 
 	mu                 sync.Mutex
+	incompleteBytes    int       // buffered bytes of an incomplete frame
+	incompleteSince    time.Time // time at which that frame began to arrive
 	queueShrunk        sync.Cond // uses mu; signaled when queue becomes shorter or the connection is closed
 	lastReadAt         time.Time
 	queue              []outgoingMessage
@@ -52,6 +56,7 @@
 	c := &conn{
 		server:             s,
 		netConn:            netConn,
+		account:            s.Memory.NewAccount(),
 		buf:                make([]byte, idleBufferSize),
 		frameStart:         now,
 		earliestSendTime:   now,
--- a/internal/frontend/coapserver/read.go
+++ b/internal/frontend/coapserver/read.go
@@ -137,8 +137,7 @@
 			return errMessageTooLarge
 		}
 		if length == 0 || length > c.buffered-offset {
-			c.keepIncompleteFrame(offset, length, now)
-			return nil
+			return c.keepIncompleteFrame(offset, length, now)
 		}
 		if err := c.handleFrame(c.buf[offset:offset+length], now); err != nil {
 			return err
@@ -147,23 +146,24 @@
 		c.frameStart = now
 	}
 	c.buffered = 0
-	c.resizeBuffer(0)
-	return nil
+	c.recordIncomplete(0, now)
+	return c.resizeBuffer(0)
 }
 
 // keepIncompleteFrame moves the incomplete frame at offset to the start of the buffer. length is the length of the complete
 // frame, or 0 if it is not known yet.
-func (c *conn) keepIncompleteFrame(offset, length int, now time.Time) {
+func (c *conn) keepIncompleteFrame(offset, length int, now time.Time) error {
 	c.buffered = copy(c.buf, c.buf[offset:c.buffered])
-	c.resizeBuffer(length)
 	if offset > 0 {
 		c.frameStart = now
 	}
+	c.recordIncomplete(c.buffered, c.frameStart)
+	return c.resizeBuffer(length)
 }
 
 // resizeBuffer makes room for a frame of the given length. If the length is not known yet (0), it doubles a full buffer. It
-// shrinks the buffer when nothing is buffered.
-func (c *conn) resizeBuffer(frameLength int) {
+// shrinks the buffer when nothing is buffered. It returns errNoMemory if there is no memory for the frame.
+func (c *conn) resizeBuffer(frameLength int) error {
 	size := idleBufferSize
 	if frameLength > size {
 		size = frameLength
@@ -173,10 +173,9 @@
 	mustGrow := size > len(c.buf)
 	canShrink := len(c.buf) > idleBufferSize && c.buffered == 0 && frameLength == 0
 	if mustGrow || canShrink {
-		buf := make([]byte, size)
-		copy(buf, c.buf[:c.buffered])
-		c.buf = buf
+		return c.setBuffer(size)
 	}
+	return nil
 }
 
 // handleFrame decodes and handles one complete frame.
--- a/internal/frontend/coapserver/server.go
+++ b/internal/frontend/coapserver/server.go
@@ -11,21 +11,24 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 )
 
 // Names of counters.
 const (
-	abortsReceived         = "device_aborts_received"
-	abortsSent             = "device_aborts"
-	connectionsAccepted    = "device_connections"
-	connectionsCSMTimeout  = "device_connections_csm_timeout"
-	connectionsIdleTimeout = "device_connections_idle_timeout"
-	connectionsRefused     = "device_connections_refused"
-	connectionsShed        = "device_connections_shed"
-	messagesTruncated      = "device_messages_truncated"
-	requestsOverLimit      = "device_requests_over_limit"
+	abortsReceived           = "device_aborts_received"
+	abortsSent               = "device_aborts"
+	connectionsAccepted      = "device_connections"
+	connectionsCSMTimeout    = "device_connections_csm_timeout"
+	connectionsIdleTimeout   = "device_connections_idle_timeout"
+	connectionsRefused       = "device_connections_refused"
+	connectionsShed          = "device_connections_shed"
+	connectionsEvicted       = "device_connections_evicted"
+	connectionsWithoutMemory = "device_connections_without_memory"
+	messagesTruncated        = "device_messages_truncated"
+	requestsOverLimit        = "device_requests_over_limit"
 )
 
 // Options are the limits and timeouts of a Server. All must be set, and none may change while it serves.
@@ -88,6 +91,8 @@
 	Clock    clock.Clock
 	Metrics  *metrics.Registry
 	Settings *scheduler.Settings
+	// Memory bounds the memory of connections together with that of other users. nil means that there is no bound.
+	Memory *memorybudget.Budget
 
 	// respondByMs holds the argument of BeginShutdown as float64 bits; 0 before a shutdown.
 	respondByMs atomic.Uint64
@@ -128,6 +133,7 @@
 	s.readers.Add(1)
 	s.mu.Unlock()
 	s.Metrics.Add(connectionsAccepted, 1)
+	c.account.Force(connBytes)
 	c.sendCSM()
 	if draining {
 		c.release()
@@ -135,6 +141,7 @@
 	go func() {
 		defer s.readers.Done()
 		c.serve()
+		c.account.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/internal/frontend/sftpserver/conn.go
+++ b/internal/frontend/sftpserver/conn.go
@@ -31,6 +31,9 @@
 	header          []byte // the part of the current packet's header that has arrived
 	remaining       int    // bytes after the header of the current packet that have not arrived yet
 	completePackets int    // number of packets that have arrived completely
+	begunPackets    int    // number of packets whose header has arrived
+	packetType      byte   // type of the last of these
+	packetSize      int    // size of the last of these in bytes, with its length
 }
 
 // advance processes the next bytes of the stream. The tracker must not be used after an error.
@@ -65,6 +68,8 @@
 		return errPacketLength
 	}
 	t.remaining = int(length) - 1 // the length includes the type, which has arrived with the header
+	t.begunPackets++
+	t.packetType, t.packetSize = t.header[packetHeaderSize-1], packetHeaderSize+t.remaining
 	return nil
 }
 
@@ -81,6 +86,7 @@
 // and reports a disconnect of the client at once.
 type conn struct {
 	net.Conn
+	memory       packetMemory
 	onDisconnect func() // called with mu held when the client has disconnected, possibly more than once
 	acceptedAt   time.Time
 	received     packetTracker // used only by the reading goroutine until that goroutine has ended
@@ -106,6 +112,9 @@
 	if trackErr := c.received.advance(data[:n]); trackErr != nil {
 		n, err = 0, trackErr
 	}
+	if memoryErr := c.memory.received(&c.received, n); memoryErr != nil {
+		n, err = 0, memoryErr
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.receivedCount = c.received.completePackets
@@ -143,6 +152,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.sent.advance(data[:n]) // cannot fail: the library writes only packets of a valid length
+	c.memory.responded(c.sent.completePackets)
 	if err != nil {
 		c.disconnectLocked()
 	}
--- a/internal/frontend/sftpserver/helper_test.go
+++ b/internal/frontend/sftpserver/helper_test.go
@@ -16,6 +16,7 @@
 	"gaugerelay/internal/eventloop"
 	"gaugerelay/internal/frontend/sftpserver"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/sftpwire"
@@ -114,6 +115,12 @@
 }
 
 func newTestGateway(t *testing.T) *testGateway {
+	t.Helper()
+	return newTestGatewayWithMemory(t, 0)
+}
+
+// newTestGatewayWithMemory returns a gateway whose connections may use the given number of bytes; 0 means no limit.
+func newTestGatewayWithMemory(t *testing.T, limit int64) *testGateway {
 	t.Helper()
 	settings := testbed.Settings(1)
 	g := &testGateway{t: t, clock: clock.NewManual(startMs), counters: metrics.New(), files: fakefileserver.New(t),
@@ -124,6 +131,8 @@
 		Address: func(*lifecycle.Server) (string, bool) { return g.files.Addr, true }}, g.clock, g.counters, g.loop.Complete)
 	g.server = &sftpserver.Server{Loop: g.loop, Upstream: upstream, Clock: g.clock, Metrics: g.counters,
 		Options: serverOptions(settings)}
+	g.server.Memory = memorybudget.New(limit, g.counters)
+	g.server.Memory.AddEvictor(g.server)
 	serve(t, g.server, g.listener)
 	return g
 }
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -32,6 +32,7 @@
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/logevent"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/sftpwire"
@@ -40,12 +41,14 @@
 
 // Names of counters.
 const (
-	connectionsAccepted = "file_connections"
-	commandsTruncated   = "file_commands_truncated"
-	commandsMalformed   = "file_commands_malformed"
-	writesRejoined      = "file_writes_rejoined"
-	writesNotRejoined   = "file_writes_not_rejoined"
-	writesRestored      = "file_writes_restored"
+	connectionsAccepted  = "file_connections"
+	commandsTruncated    = "file_commands_truncated"
+	commandsMalformed    = "file_commands_malformed"
+	connectionsEvicted   = "file_connections_evicted"
+	packetsWithoutMemory = "file_packets_without_memory"
+	writesRejoined       = "file_writes_rejoined"
+	writesNotRejoined    = "file_writes_not_rejoined"
+	writesRestored       = "file_writes_restored"
 )
 
 // Root assigns a directory and everything below it to a volume. The requests for its files count against that volume.
@@ -86,6 +89,8 @@
 	Upstream lifecycle.Upstream
 	Clock    clock.Clock
 	Metrics  *metrics.Registry
+	// Memory bounds the memory of commands together with that of other users. nil means that there is no bound.
+	Memory *memorybudget.Budget
 
 	serving sync.WaitGroup // goroutines that run serveConn
 	history fileHistory
@@ -149,6 +154,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c := newConn(accepted, cancel)
+	c.memory.account, c.memory.metrics = s.Memory.NewAccount(), s.Metrics
+	c.memory.account.Force(connBytes)
+	defer c.memory.account.Close()
 	s.register(c)
 	defer s.closeAndUnregister(c)
 	s.Metrics.Add(connectionsAccepted, 1)
--- a/internal/gateway/devicefrontend.go
+++ b/internal/gateway/devicefrontend.go
@@ -13,6 +13,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
 	"gaugerelay/internal/dedup"
+	"gaugerelay/internal/dedup/exchange"
 	"gaugerelay/internal/frontend/coapserver"
 	"gaugerelay/internal/frontend/httpserver"
 	"gaugerelay/internal/lifecycle"
@@ -38,19 +39,32 @@
 	// of other gateways, and from the names that this gateway had at earlier starts.
 	name := fmt.Sprintf("%s-%x-%x", g.cfg.Name, g.cfg.Seed, int64(g.Clock.NowMs()))
 	gatewayName = strconv.FormatUint(xxhash.Sum64String(name), 16)
-	deduplicator, err = dedup.New(dedup.Options{Settings: options.Exchanges, Classes: g.cfg.Settings.Classes,
+	deduplicator, err = dedup.New(dedup.Options{Settings: exchangeSettings(g.cfg, options), Classes: g.cfg.Settings.Classes,
 		ExecutionIDPrefix: name, GatewayName: gatewayName, Metrics: g.Metrics, NowMs: g.Clock.NowMs,
 		AfterFunc: func(ms float64, f func(nowMs float64)) (stop func()) { return g.loop.AfterFunc(ms, f) },
 		Submit:    func(nowMs float64, request *lifecycle.Request) { g.loop.SubmitOnLoop(nowMs, request) }})
 	return deduplicator, gatewayName, err
 }
 
+// storedBytesFraction is the fraction of the memory for clients that stored bodies and responses of devices may take.
+const storedBytesFraction = 0.25
+
+// exchangeSettings returns the settings of the exchange store. It stores fewer bytes than the operator's file allows if the platform's
+// memory limit requires that, but always enough for an exchange of the largest size.
+func exchangeSettings(cfg *config.Config, options *config.Devices) exchange.Settings {
+	settings := options.Exchanges
+	if limit := clientMemoryLimit(cfg); limit > 0 {
+		settings.MaxStoredBytes = max(2*settings.MaxBodyBytes, min(settings.MaxStoredBytes, int(storedBytesFraction*float64(limit))))
+	}
+	return settings
+}
+
 // newDeviceFrontend builds the servers that the options enable. It opens no listener.
 func newDeviceFrontend(g *Gateway, options *config.Devices, gatewayName string) *deviceFrontend {
 	f := &deviceFrontend{gateway: g, options: options}
 	if options.CoAP != "" {
 		link := options.Exchanges.Link
-		f.coap = &coapserver.Server{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
+		f.coap = &coapserver.Server{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory,
 			Settings: &g.cfg.Settings, Options: coapserver.Options{
 				GatewayName:         gatewayName,
 				MaxConns:            options.MaxConns,
@@ -62,6 +76,7 @@
 				MaxIdleTimeout:      clock.Duration(link.MaxIdleTimeoutMs),
 				HoldOff:             options.HoldOff,
 			}}
+		g.clientMemory.AddEvictor(f.coap)
 	}
 	if options.HTTP != "" {
 		f.http = &httpserver.Handler{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
