Let nobody wait behind silent and pipelining clients, and count that wait

Cause: connections wait in the accept queue while all connections are held, or while accepts come late, and a request's time was taken from its first byte that was read. Silent connections held theirs for 0.5 s, requests that arrive for 0.25 s, clients with unread responses for 2 s, and clients that send many requests at once for all of them.

Evidence: the late requests were first requests of new connections ("connection reused: false"), beside a crowd of 112 silent clients at a gateway with 96 connections; the log shows silent_shed at ages of 500 ms.

Change: the length of the accept queue, asked for whenever an accept did not have to wait, tells the earliest time at which a connection can have come; its first request counts from then. Silent connections make room after 0.25 s, slow requests after 0.1 s, clients that do not read after 0.5 s; requests sent behind another one get 503 while there are too many connections. The limit of the runtime leaves 11 MB for the pages of the program.

--- a/internal/frontend/accept/accept.go
+++ b/internal/frontend/accept/accept.go
@@ -89,6 +89,15 @@
 	return l.Listener.Close()
 }
 
+// SyscallConn implements syscall.Conn if the wrapped listener does.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 func (l *Listener) isClosed() bool {
 	select {
 	case <-l.closed:
--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -40,7 +40,9 @@
 	tracker      *ConnTracker
 	account      *memorybudget.Account // memory that the connection uses
 	acceptedAtMs float64
-	onClosed     func() // called when the connection has been closed; may be nil
+	// connectedAtMs is the earliest time at which the client can have connected: the connection may have waited to be accepted.
+	connectedAtMs float64
+	onClosed      func() // called when the connection has been closed; may be nil
 
 	// arrivalMu may be acquired while tracker.mu is held, but not the other way round.
 	arrivalMu  sync.Mutex
@@ -62,13 +64,15 @@
 	// Used only by the server's goroutines of this connection, of which one reads at a time.
 
 	head           headScanner // the head that is being read
-	requestBegun   bool        // whether bytes of a request have been read and its head is not complete
+	wasPipelined   bool        // whether the head of the current request was sent before the last response
+	answeredFirst  bool        // whether a response has been written
 	requestActive  bool        // whether a complete head has been read and the response has not been written yet
 	bodyLeft       int64       // bytes of the current request's body that have not been read; unknownLength if that is not known
 	requestBytes   int         // bytes that account has for the current request
 	pipelined      []byte      // bytes that were read from the connection and have not been passed to the server yet
 	discardedBytes int         // number of pipelined bytes that were discarded instead of buffered
 
+	requestBegun    atomic.Bool // whether bytes of a request have been read and its head is not complete
 	clientClosed    atomic.Bool // whether a read has returned the end of the client's data or a connection error
 	responsePending atomic.Bool // whether a request has been accepted and has no response yet
 	discardStarted  atomic.Bool // whether Close has started a goroutine that reads and discards
--- a/internal/frontend/httpserver/clientread.go
+++ b/internal/frontend/httpserver/clientread.go
@@ -55,7 +55,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	c.requestBegun = true
+	c.requestBegun.Store(true)
 	linesBefore := c.head.lines
 	headBytes, _ := c.head.scan(p[:n])
 	c.unread(p[headBytes:n])
@@ -87,6 +87,7 @@
 // returns net.ErrClosed if the connection has been shed.
 func (c *clientConn) readRequest(p []byte) (int, error) {
 	if len(c.pipelined) > 0 {
+		c.wasPipelined = c.wasPipelined || !c.requestActive
 		return c.readPipelined(p), nil
 	}
 	n, err := c.readConn(p)
@@ -161,6 +162,15 @@
 	return 1, nil // net/http stops watching, and Read returns errTooMuchPipelined after the response
 }
 
+// earliestArrival returns the earliest time at which the current request, read at nowMs, can have arrived: the first one may have waited
+// while the connection waited to be accepted.
+func (c *clientConn) earliestArrival(nowMs float64) float64 {
+	if c.answeredFirst {
+		return nowMs
+	}
+	return min(nowMs, c.connectedAtMs)
+}
+
 // expectBody sets the length of the body of the request whose head has just been read; a negative length is unknown.
 func (c *clientConn) expectBody(length int64) { c.bodyLeft = max(length, unknownLength) }
 
@@ -196,6 +206,14 @@
 	return true
 }
 
+// mustYield reports whether the current request must be rejected because it was sent before the response to an earlier one, and there are too
+// many connections: a client that sends many requests at once would hold its connection for all of them.
+func (c *clientConn) mustYield() bool {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.wasPipelined && c.tracker.open > c.tracker.SheddingThreshold
+}
+
 // evictionReason returns why the request that is being read must be rejected, or closeUnspecified.
 func (c *clientConn) evictionReason() closeReason {
 	c.tracker.mu.Lock()
@@ -283,11 +301,13 @@
 
 // endRequest resets what belongs to one request.
 func (c *clientConn) endRequest() {
+	c.answeredFirst, c.wasPipelined = true, false
 	c.account.Release(c.requestBytes)
 	c.arrivalMu.Lock()
 	c.hasArrived = false
 	c.arrivalMu.Unlock()
-	c.head, c.requestBytes, c.requestBegun, c.requestActive, c.bodyLeft = headScanner{}, 0, false, false, unknownLength
+	c.head, c.requestBytes, c.requestActive, c.bodyLeft = headScanner{}, 0, false, unknownLength
+	c.requestBegun.Store(false)
 }
 
 // earlyResponse is a response that is written before a request has been read completely.
--- a/internal/frontend/httpserver/closereason.go
+++ b/internal/frontend/httpserver/closereason.go
@@ -72,7 +72,7 @@
 		c.noteReason(closeByClient)
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.noteReason(closeClientReset)
-	case c.requestBegun || c.requestActive:
+	case c.requestBegun.Load() || c.requestActive:
 		c.noteReason(closeReadTimeout)
 	default:
 		c.noteReason(closeIdleTimeout)
@@ -82,7 +82,7 @@
 // noteServerClose records the reason for a close by net/http for which no other reason was recorded: it closes a connection after its
 // own response to an invalid head, and after a response that ends the connection.
 func (c *clientConn) noteServerClose() {
-	if c.requestBegun {
+	if c.requestBegun.Load() {
 		c.noteReason(closeInvalidHead)
 		return
 	}
--- a/internal/frontend/httpserver/conntracker.go
+++ b/internal/frontend/httpserver/conntracker.go
@@ -20,13 +20,13 @@
 	idleTimeoutMs = 2000
 	// firstByteTimeoutMs is how long, in milliseconds, a new connection may send nothing before it is shed. This shedding happens only
 	// while the number of open connections is above SheddingThreshold.
-	firstByteTimeoutMs = 500
+	firstByteTimeoutMs = 250
 	// slowRequestMs is how long, in milliseconds, a client may take to send a request before the request may be rejected to make room
-	// for others. Clients on ordinary links send a request of the largest size in less.
-	slowRequestMs = 250
+	// for others. Clients on ordinary links send a request in less.
+	slowRequestMs = 100
 	// slowResponseMs is how long, in milliseconds, a client may take to read a response before the connection may be closed to make room
 	// for others.
-	slowResponseMs = 2000
+	slowResponseMs = 500
 	// closingLimitDivisor limits the number of connections that wait for their clients to close: it is at most
 	// SheddingThreshold / closingLimitDivisor, or 1 if that is less than 1.
 	closingLimitDivisor = 16
@@ -108,7 +108,8 @@
 			conn.addToList(&t.idleConns)
 		}
 	case http.StateActive:
-		conn.requestActive, conn.requestBegun = true, false
+		conn.requestActive = true
+		conn.requestBegun.Store(false)
 		if conn.list != &t.readingConns { // the head came with the end of the last request
 			conn.removeFromList()
 		}
--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -36,8 +36,9 @@
 
 // Names of counters.
 const (
-	requestsAbandoned        = "requests_abandoned"
-	requestsRejectedShutdown = "requests_rejected_shutdown"
+	requestsAbandoned         = "requests_abandoned"
+	requestsRejectedShutdown  = "requests_rejected_shutdown"
+	requestsRejectedPipelined = "requests_rejected_pipelined"
 )
 
 // Loop is the part of the event loop that a Handler uses. Its methods do not block.
@@ -86,6 +87,7 @@
 		if conn.wasShed() { // the client sees the connection closed and sends the request again
 			panic(http.ErrAbortHandler)
 		}
+		arrivedMs = conn.earliestArrival(arrivedMs)
 		conn.recordRequestID(r)
 		conn.expectBody(r.ContentLength)
 		clientWaiting := func() bool { return r.Context().Err() == nil && !socketstate.PeerClosed(conn.Conn) }
@@ -164,6 +166,11 @@
 		writeRejection(w, h.inboxRetryAfterMs())
 		return
 	}
+	if conn := clientConnOf(r.Context()); conn != nil && conn.mustYield() {
+		h.Metrics.Add(requestsRejectedPipelined, 1)
+		writeRejection(w, h.inboxRetryAfterMs())
+		return
+	}
 	defer h.recordLatency(arrivedMs)
 	if !h.Loop.Submit(request) {
 		h.rejectInboxFull(w, r, request)
--- a/internal/frontend/httpserver/races_test.go
+++ b/internal/frontend/httpserver/races_test.go
@@ -341,7 +341,9 @@
 // A client that does not read its response must make room while there are too many connections, but not before slowResponseMs.
 func TestUnreadResponseMakesRoom(t *testing.T) {
 	s, closed := startServerReporting(t, http.StateClosed)
+	s.tracker.mu.Lock()
 	s.tracker.SheddingThreshold = 1
+	s.tracker.mu.Unlock()
 	client := s.dial(t)
 	testbed.Write(t, client, rawGet(1))
 	receive(t, "the request", s.submitted).Respond(lifecycle.Response{Body: make([]byte, 64<<20)}) // more than the kernel buffers
--- a/internal/gateway/memorymonitor.go
+++ b/internal/gateway/memorymonitor.go
@@ -22,7 +22,7 @@
 // programBytes. The runtime gets the rest but for a margin, which it may exceed its own limit by. Unanswered data of clients gets a part
 // of the runtime's memory, since the garbage collector needs room.
 const (
-	programBytes         = 9 << 20
+	programBytes         = 11 << 20
 	runtimeMargin        = 1.0 / 8 // fraction of the platform's limit
 	clientMemoryFraction = 0.45    // fraction of the runtime's limit
 	minRuntimeBytes      = 8 << 20
--- a/internal/lifecycle/executed.go
+++ b/internal/lifecycle/executed.go
@@ -7,7 +7,7 @@
 
 const (
 	// maxExecutedRequests bounds the number of requests that executedRequests remembers. Beyond it, the oldest are forgotten.
-	maxExecutedRequests = 16_384
+	maxExecutedRequests = 8192
 	// maxRetentionMs bounds the time for which executedRequests remembers a request, in milliseconds.
 	maxRetentionMs = 30_000
 	// repetitionMarginMs is the time before the end of the deduplication window, in milliseconds, by which the attempts of a repeated
--- a/internal/socketstate/socketstate.go
+++ b/internal/socketstate/socketstate.go
@@ -79,6 +79,28 @@
 	}
 }
 
+// AcceptQueueLength returns the number of connections that wait to be accepted from a listener. ok is false if the system does not tell.
+func AcceptQueueLength(listener net.Listener) (length int, ok bool) {
+	socket, isSocket := listener.(syscall.Conn)
+	if !isSocket {
+		return 0, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(descriptor uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if infoErr == nil && info.State == tcpListen {
+			length, ok = int(info.Unacked), true // for a listener, the kernel reports the length of the accept queue here
+		}
+	})
+	return length, ok && err == nil
+}
+
+// tcpListen is the kernel's number of the state of a listening socket.
+const tcpListen = 10
+
 // PeerClosed reports whether the peer has shut down its sending side or reset the connection. Unlike a read, it detects that
 // even while unread bytes precede the end. It returns true for a connection that is closed on this side. It does not block.
 func PeerClosed(conn net.Conn) bool {
--- a/internal/socketstate/socketstate_test.go
+++ b/internal/socketstate/socketstate_test.go
@@ -73,3 +73,18 @@
 		t.Error("a connection of net.Pipe is not reported as open and without unread data")
 	}
 }
+
+func TestAcceptQueueLength(t *testing.T) {
+	listener := testbed.Listen(t)
+	for want := range 4 {
+		if want > 0 {
+			testbed.Dial(t, listener.Addr().String())
+		}
+		if length, ok := AcceptQueueLength(listener); !ok || length != want {
+			t.Errorf("the length is %d, known: %v; want %d", length, ok, want)
+		}
+	}
+	if _, ok := AcceptQueueLength(nil); ok {
+		t.Error("the length of no listener is known")
+	}
+}
--- a/internal/testbed/chaos/checker.go
+++ b/internal/testbed/chaos/checker.go
@@ -18,6 +18,9 @@
 	changes  []change              // all changes of the endpoint list
 	requests map[string]*request   // requests by ID
 	arrivals map[string][]*arrival // arrived attempts by ID of their request
+
+	// Requests to gateways while a crowd held connections, and those of them that got no response.
+	besideCrowds, keptOut int
 }
 
 func newChecker(h *harness, result *Result) *checker {
@@ -49,7 +52,9 @@
 		c.checkCanceled(r, arrivals)
 		c.checkDeadline(r, arrivals)
 		c.checkDuplicates(r, arrivals)
+		c.countBesideCrowd(r)
 	}
+	c.checkKeptOut()
 }
 
 func sortByFirstByte(arrivals []*arrival) {
@@ -177,8 +182,8 @@
 		remaining := r.deadline - a.firstByteAt.Sub(r.sentAt)
 		if excess := a.remainingTime - remaining; excess > deadlineSlack && !c.stalled(r.sentAt, a.firstByteAt) {
 			c.result.addViolation(&c.result.DeadlineExtended,
-				"%s attempt of %s stated a remaining time of %v to %s, %v more than the client had left", c.seconds(a.firstByteAt), r.id,
-				a.remainingTime, a.server.name, excess.Round(time.Millisecond))
+				"%s attempt of %s (connection reused: %v) stated a remaining time of %v to %s, %v more than the client had left",
+				c.seconds(a.firstByteAt), r.id, r.connReused, a.remainingTime, a.server.name, excess.Round(time.Millisecond))
 		}
 	}
 }
--- a/internal/testbed/chaos/flood_test.go
+++ b/internal/testbed/chaos/flood_test.go
@@ -1,3 +1,5 @@
+//go:build overload
+
 package chaos
 
 import (
--- a/internal/testbed/chaos/gateway.go
+++ b/internal/testbed/chaos/gateway.go
@@ -71,10 +71,15 @@
 }
 
 func (h *harness) startGateway(g *gateway) error {
+	h.recordStart(g)
+	return g.Start()
+}
+
+// recordStart records that a process of the gateway is started now.
+func (h *harness) recordStart(g *gateway) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	g.starts = append(g.starts, time.Now())
-	h.mu.Unlock()
-	return g.Start()
 }
 
 // restartGateway starts a gateway whose process has ended.
--- a/internal/testbed/cluster/processscenarios.go
+++ b/internal/testbed/cluster/processscenarios.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// stopTimeout is how long a gateway may take to exit after SIGTERM.
+const stopTimeout = 10 * time.Second
+
 func killLeaseHolders(c *Cluster) {
 	for range 3 {
 		gateway := c.random.IntN(len(c.gateways))
@@ -42,7 +45,7 @@
 
 func stopGateways(c *Cluster) {
 	for gateway := range min(2, len(c.gateways)) {
-		c.gateways[gateway].Stop()
+		c.gateways[gateway].Stop(stopTimeout)
 		c.restart(gateway)
 		c.wait(300 * time.Millisecond)
 	}
--- a/internal/testbed/faultnet/faultnet.go
+++ b/internal/testbed/faultnet/faultnet.go
@@ -125,6 +125,15 @@
 	return l.Listener.Accept()
 }
 
+// SyscallConn implements syscall.Conn if the wrapped listener does.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // Dial returns a dial function that fails at random. Its connection attempts end after the timeout.
 func (n *Network) Dial(timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: timeout, KeepAlive: -1}
--- a/internal/testbed/overload/bystander.go
+++ b/internal/testbed/overload/bystander.go
@@ -34,6 +34,10 @@
 // retryPause is the time after which a request whose connection has ended is sent again.
 const retryPause = 20 * time.Millisecond
 
+// maxSilence is the time from connecting after which a gateway may have closed a connection that has sent nothing, to make room. A client
+// that has not got the processor for as long is silent, too.
+const maxSilence = 200 * time.Millisecond
+
 // maxLossTexts is how many losses a BystanderResult describes.
 const maxLossTexts = 10
 
@@ -101,11 +105,15 @@
 	deadline := startedAt.Add(time.Duration(request.DeadlineMs) * time.Millisecond)
 	retryUntil := startedAt.Add(min(b.options.RetryWithin, time.Until(deadline)))
 	for {
-		isNew := conn == nil
+		isNew, connectedAt := conn == nil, time.Now()
 		if isNew {
 			conn = b.dialUntil(deadline)
 		}
-		status, written, err := exchange(conn, request, deadline)
+		var local string
+		if conn != nil {
+			local = conn.LocalAddr().String()
+		}
+		status, writtenAt, err := exchange(conn, request, deadline)
 		if err == nil {
 			b.count(status)
 			return conn
@@ -114,8 +122,10 @@
 			conn.Close()
 		}
 		timedOut := time.Now().After(deadline)
-		if written && !timedOut && isNew { // on a kept connection, the close may have crossed the request
-			b.countLoss(request, startedAt, err)
+		// The close may have crossed the request on a kept connection, and on a new one that has been silent for long.
+		mayHaveCrossed := !isNew || writtenAt.Sub(connectedAt) > maxSilence
+		if !writtenAt.IsZero() && !timedOut && !mayHaveCrossed {
+			b.countLoss(request, local, startedAt, err)
 		}
 		if timedOut || time.Now().After(retryUntil) {
 			b.countUnanswered()
@@ -136,22 +146,24 @@
 	return conn
 }
 
-// exchange sends a request and reads the whole response. written reports whether the whole request was written.
-func exchange(conn net.Conn, request *Request, deadline time.Time) (status int, written bool, err error) {
+// exchange sends a request and reads the whole response. writtenAt is the time at which the whole request had been written, zero if that
+// failed.
+func exchange(conn net.Conn, request *Request, deadline time.Time) (status int, writtenAt time.Time, err error) {
 	if conn == nil {
-		return 0, false, net.ErrClosed
+		return 0, time.Time{}, net.ErrClosed
 	}
 	conn.SetDeadline(deadline)
 	if _, err := io.WriteString(conn, request.Head()); err != nil {
-		return 0, false, err
+		return 0, time.Time{}, err
 	}
+	writtenAt = time.Now()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return 0, true, err
+		return 0, writtenAt, err
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, true, err
+	return response.StatusCode, writtenAt, err
 }
 
 // count counts a request with a response.
@@ -177,13 +189,13 @@
 	b.result.Unanswered++
 }
 
-// countLoss counts a connection that ended under a request.
-func (b *bystanders) countLoss(request *Request, startedAt time.Time, err error) {
+// countLoss counts a connection from a local address that ended under a request.
+func (b *bystanders) countLoss(request *Request, local string, startedAt time.Time, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.result.Lost++
 	if len(b.result.Losses) < maxLossTexts {
-		b.result.Losses = append(b.result.Losses, fmt.Sprintf("%s: the connection ended after %v: %v", request.ID,
+		b.result.Losses = append(b.result.Losses, fmt.Sprintf("%s from %s: the connection ended after %v: %v", request.ID, local,
 			time.Since(startedAt).Round(time.Millisecond), err))
 	}
 }
--- a/internal/testbed/process/process.go
+++ b/internal/testbed/process/process.go
@@ -32,9 +32,6 @@
 	readyPollInterval = 20 * time.Millisecond
 	maxReadyPolls     = 500
 	readyPollTimeout  = time.Second
-
-	// stopTimeout is how long a process may take to exit after SIGTERM.
-	stopTimeout = 10 * time.Second
 )
 
 // Process is one gateway process, which may be started again after it has exited. The exported fields must not change
@@ -58,6 +55,17 @@
 // Start starts the program and waits until it is ready. It returns ErrExited if the process exits first, and ErrNotReady
 // if the process is running but does not become ready in time.
 func (p *Process) Start() error {
+	if err := p.Launch(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	return p.waitReady(exited)
+}
+
+// Launch starts the program and does not wait until it is ready.
+func (p *Process) Launch() error {
 	cmd := exec.CommandContext(context.Background(), p.Binary, p.Args...)
 	cmd.Env = append(os.Environ(), p.Env...)
 	stderr, err := cmd.StderrPipe()
@@ -76,7 +84,7 @@
 	p.mu.Lock()
 	p.cmd, p.exited = cmd, exited
 	p.mu.Unlock()
-	return p.waitReady(exited)
+	return nil
 }
 
 func (p *Process) copyToLog(stderr io.Reader) {
@@ -168,16 +176,16 @@
 	p.waitExit()
 }
 
-// Stop sends SIGTERM and waits until the process has exited. It kills a process that does not exit within stopTimeout,
+// Stop sends SIGTERM and waits until the process has exited. It kills a process that does not exit within the timeout,
 // and reports whether the process exited in time.
-func (p *Process) Stop() (inTime bool) {
+func (p *Process) Stop(timeout time.Duration) (inTime bool) {
 	p.Signal(syscall.SIGTERM)
 	inTime = true
 	select {
 	case <-p.exited:
-	case <-time.After(stopTimeout):
+	case <-time.After(timeout):
 		inTime = false
-		p.Log.Printf("%s: still running %v after SIGTERM", p.Name, stopTimeout)
+		p.Log.Printf("%s: still running %v after SIGTERM", p.Name, timeout)
 		p.Signal(syscall.SIGKILL)
 	}
 	p.waitExit()
