--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -13,7 +13,6 @@
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/httpmessage"
 	"gaugerelay/internal/memorybudget"
-	"gaugerelay/internal/socketstate"
 )
 
 const (
@@ -105,44 +104,6 @@
 	return c.isShed
 }
 
-// reserveBuffer adds n, or as much of it as tracker.MaxPipelinedBytes and the memory allow, to the counts of buffered bytes, and returns
-// what it added.
-func (c *clientConn) reserveBuffer(n int) int {
-	n = c.countBuffer(n, c.tracker.MaxPipelinedBytes)
-	if !c.account.ReserveBulk(n) {
-		c.countBuffer(-n, 0)
-		return 0
-	}
-	return n
-}
-
-// forceBuffer adds n to the counts of buffered bytes.
-func (c *clientConn) forceBuffer(n int) {
-	c.account.Force(c.countBuffer(n, 0))
-}
-
-// releaseBuffer subtracts n from the counts of buffered bytes.
-func (c *clientConn) releaseBuffer(n int) {
-	c.account.Release(-c.countBuffer(-n, 0))
-}
-
-// countBuffer adds n to the numbers of buffered bytes of the connection and of the tracker, but not more than the limit of the latter
-// allows; 0 means no limit. It returns what it added.
-func (c *clientConn) countBuffer(n, limit int) int {
-	tracker := c.tracker
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	if c.closed { // closeLocked has released all bytes of the connection
-		return 0
-	}
-	if limit > 0 {
-		n = min(n, max(0, limit-tracker.pipelinedBytes))
-	}
-	c.bufferedBytes += n
-	tracker.pipelinedBytes += n
-	return n
-}
-
 // recordClientClose records that the client has closed its side or reset the connection if the error of a read shows that. An
 // expired read deadline does not.
 func (c *clientConn) recordClientClose(err error) {
@@ -234,37 +195,6 @@
 	}
 }
 
-// markShed marks the connection as shed, unless bytes of a request have arrived: closing the connection would lose that request. The
-// caller holds tracker.mu.
-func (c *clientConn) markShed() bool {
-	c.arrivalMu.Lock()
-	defer c.arrivalMu.Unlock()
-	if c.hasArrived || c.hasUnreadData() {
-		return false
-	}
-	c.isShed = true
-	return true
-}
-
-// hasUnreadData reports whether bytes from the client wait to be read.
-func (c *clientConn) hasUnreadData() bool {
-	unread, err := socketstate.HasUnreadData(c.Conn)
-	return unread && err == nil
-}
-
-// evict rejects the request that is being read: the read ends, and the goroutine that reads writes the response. The caller holds
-// tracker.mu.
-func (c *clientConn) evict(reason closeReason) {
-	if c.evictedFor != closeUnspecified || c.isShed || c.closed {
-		return
-	}
-	c.evictedFor = reason
-	c.removeFromList()
-	c.tracker.open--
-	c.tracker.Metrics.Add(connectionsEvicted, 1)
-	c.Conn.SetReadDeadline(time.Unix(1, 0))
-}
-
 // removeFromList removes the connection from its list, if it is in one. The caller holds
 // tracker.mu.
 func (c *clientConn) removeFromList() {
--- a/internal/frontend/httpserver/clientread.go
+++ b/internal/frontend/httpserver/clientread.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"io"
 	"net"
-	"time"
 
 	"gaugerelay/internal/socketstate"
 )
@@ -194,111 +192,6 @@
 	return true
 }
 
-// take records that a request has been read completely, so that its connection stays open until it has its response. It returns false
-// if the request must be rejected instead.
-func (c *clientConn) take() bool {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	if c.evictedFor != closeUnspecified {
-		return false
-	}
-	c.removeFromList()
-	return true
-}
-
-// mustYield reports whether the current request must be rejected because it was sent before the response to an earlier one, and there are too
-// many connections: a client that sends many requests at once would hold its connection for all of them.
-func (c *clientConn) mustYield() bool {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	return c.wasPipelined && c.tracker.open > c.tracker.SheddingThreshold
-}
-
-// evictionReason returns why the request that is being read must be rejected, or closeUnspecified.
-func (c *clientConn) evictionReason() closeReason {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	return c.evictedFor
-}
-
-// reserveHead reserves memory for the head of the current request. It returns false if there is none.
-func (c *clientConn) reserveHead(bytes int) bool {
-	reserved := c.account.Reserve(bytes)
-	if reserved {
-		c.requestBytes += bytes
-	}
-	return reserved
-}
-
-// reserveBody reserves memory for the body of the current request. It returns false if there is none.
-func (c *clientConn) reserveBody(bytes int) bool {
-	reserved := c.account.ReserveBulk(bytes)
-	if reserved {
-		c.requestBytes += bytes
-	}
-	return reserved
-}
-
-// force counts memory of the current request that is in use already.
-func (c *clientConn) force(bytes int) {
-	c.account.Force(bytes)
-	c.requestBytes += bytes
-}
-
-// release ends the use of memory of the current request.
-func (c *clientConn) release(bytes int) {
-	c.account.Release(bytes)
-	c.requestBytes -= bytes
-}
-
-// isLeaving reports whether the connection no longer counts as open, because it has been shed or its request is being rejected. The
-// caller holds tracker.mu.
-func (c *clientConn) isLeaving() bool { return c.isShed || c.evictedFor != closeUnspecified }
-
-// evictForMemory rejects the request that is being read because memory is short.
-func (c *clientConn) evictForMemory() (evicted bool) {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	if c.list != &c.tracker.readingConns {
-		return false
-	}
-	c.evict(closeMemory)
-	return true
-}
-
-// beginWrite records that a response is being written. The returned function records that it has been written.
-func (c *clientConn) beginWrite() (end func()) {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	c.addToList(&c.tracker.writingConns)
-	return func() {
-		c.tracker.mu.Lock()
-		defer c.tracker.mu.Unlock()
-		if c.list == &c.tracker.writingConns {
-			c.removeFromList()
-		}
-	}
-}
-
-// abortForMemory ends the writing of a response that the client does not read because memory is short.
-func (c *clientConn) abortForMemory() (aborted bool) {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	if c.list != &c.tracker.writingConns {
-		return false
-	}
-	c.abortWrite(closeMemory)
-	return true
-}
-
-// abortWrite ends the writing of a response that the client does not read, and the reading of further requests. The client can tell that the response is not whole. The caller
-// holds tracker.mu.
-func (c *clientConn) abortWrite(reason closeReason) {
-	c.evict(reason)
-	c.noteReason(reason)
-	c.SetWriteDeadline(time.Unix(1, 0))
-}
-
 // endRequest resets what belongs to one request.
 func (c *clientConn) endRequest() {
 	c.answeredFirst, c.wasPipelined = true, false
@@ -309,36 +202,3 @@
 	c.head, c.requestBytes, c.requestActive, c.bodyLeft = headScanner{}, 0, false, unknownLength
 	c.requestBegun.Store(false)
 }
-
-// earlyResponse is a response that is written before a request has been read completely.
-type earlyResponse string
-
-// Responses that reject a request before it has been read completely.
-const (
-	responseBusy          earlyResponse = "503 Service Unavailable"
-	responseTooManyFields earlyResponse = "431 Request Header Fields Too Large"
-)
-
-// earlyResponseTimeout bounds the time to write an earlyResponse. The client has been sent nothing since its last response, so that
-// there is room in its connection unless it has left earlier responses unread.
-const earlyResponseTimeout = 50 * time.Millisecond
-
-// reject writes a response to a request that is being read, and returns io.EOF. The request has not been accepted, so that a status
-// of 503 is right even if the rest of it has arrived.
-func (c *clientConn) reject(response earlyResponse, reason closeReason) error {
-	c.noteReason(reason)
-	c.SetWriteDeadline(time.Now().Add(earlyResponseTimeout))
-	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+string(response)+"\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "+
-		"0\r\nConnection: close\r\n\r\n") // a client that has disconnected needs no response
-	return io.EOF
-}
-
-// SetReadDeadline sets the deadline of reads, unless a read must end at once because the request is rejected.
-func (c *clientConn) SetReadDeadline(deadline time.Time) error {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	if c.evictedFor != closeUnspecified && c.closingElement == nil {
-		deadline = time.Unix(1, 0)
-	}
-	return c.Conn.SetReadDeadline(deadline)
-}
