Let the soak draw crowds, and check that clients' memory is released

Cause: the soak had no clients that stop within a request, and nothing checked that what is counted for a client is released. The process holds devices and servers as well, so that its own peak says nothing.

--- a/cmd/faultbench/soak.go
+++ b/cmd/faultbench/soak.go
@@ -46,6 +46,7 @@
 	Odd      float64 `default:"0.15" help:"Fraction of the exchanges in which a device misbehaves."`
 	Calm     bool    `help:"Run without server faults, drains and restarts."`
 	Baseline bool    `default:"true" negatable:"" help:"Also run the same load without deduplication, for comparison."`
+	Crowds   bool    `default:"true" negatable:"" help:"Let crowds of clients that stop within their requests hold connections."`
 	Log      bool    `help:"Show the gateway's log."`
 }
 
@@ -68,6 +69,9 @@
 	printViolations(report.Violations)
 	fmt.Printf("exchanges=%d double_answers=%d unallowed_repeats=%d unanswered=%d damaged_uploads=%d served_in_time=%.4f baseline=%.4f\n",
 		report.Exchanges, report.DuplicateResponses, report.DisallowedRetries, report.MissingResponses, report.DamagedUploads, servedInTimeFraction(report), baselineFraction)
+	if report.UnreleasedBytes != 0 {
+		return fmt.Errorf("the gateway still counts %d bytes of clients' data after its end", report.UnreleasedBytes)
+	}
 	return violationError(report.ViolationCount())
 }
 
@@ -79,7 +83,7 @@
 	var baselineRun sync.WaitGroup
 	if c.Baseline {
 		baselineOptions := options
-		baselineOptions.Deduplication = false
+		baselineOptions.Deduplication, baselineOptions.Crowds = false, false
 		baselineRun.Go(func() { baseline, baselineErr = soak.Run(baselineOptions) })
 	}
 	report, err = soak.Run(options)
@@ -89,7 +93,8 @@
 
 func (c *soakCmd) options() soak.Options {
 	options := soak.Options{Duration: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed, Devices: c.Devices, Uploaders: c.Uploads,
-		Links: linkProfiles[c.Links], Protocols: c.Wires, Deduplication: true, QuirkRate: c.Odd, Network: gateway.SystemNetwork()}
+		Links: linkProfiles[c.Links], Protocols: c.Wires, Deduplication: true, QuirkRate: c.Odd, Crowds: c.Crowds,
+		Network: gateway.SystemNetwork()}
 	if !c.Calm {
 		options.RestartInterval, options.ReplacementInterval, options.Faults = restartInterval, replacementInterval, serverFaults
 	}
--- a/internal/testbed/overload/crowd.go
+++ b/internal/testbed/overload/crowd.go
@@ -216,3 +216,39 @@
 	case <-time.After(d):
 	}
 }
+
+// Announcers keeps clients connected that send the beginning of a message and stop, until stop is closed. Whenever the gateway closes a
+// connection, its client connects again. It returns the number of connections.
+func Announcers(addr string, beginning []byte, clients int, stop <-chan struct{}) (connections int64) {
+	target := Target{Addr: addr}
+	var running sync.WaitGroup
+	for range clients {
+		running.Go(func() {
+			for !isClosed(stop) {
+				conn, err := target.dial()
+				if err == nil {
+					atomic.AddInt64(&connections, 1)
+					announce(conn, beginning, stop)
+				}
+				sleep(stop, maxReconnectDelay)
+			}
+		})
+	}
+	running.Wait()
+	return connections
+}
+
+// announce sends the beginning of a message and waits until the connection ends or stop is closed.
+func announce(conn net.Conn, beginning []byte, stop <-chan struct{}) {
+	defer conn.Close()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = io.Copy(io.Discard, conn) // ends with the connection
+	}()
+	_, _ = conn.Write(beginning) // after an error, the connection ends
+	select {
+	case <-closed:
+	case <-stop:
+	}
+}
--- a/internal/testbed/soak/gateway.go
+++ b/internal/testbed/soak/gateway.go
@@ -72,6 +72,9 @@
 	settings := testsettings.Settings(shardCount)
 	cfg := &config.Config{Name: "soak", Listen: r.frontendAddr(platformFrontend), Discovery: "127.0.0.1:1", MaxSockets: 4096,
 		IdleConnTimeoutMs: 30_000, ConnectTimeoutMs: 1000, KnownEndpoints: known, Settings: settings, Seed: r.options.Seed}
+	if r.options.Crowds {
+		cfg.MemoryMB = crowdMemoryMB
+	}
 	edge := &config.Edge{SFTP: &config.SFTP{Listen: r.frontendAddr(sftpFrontend), MaxConns: 4 * (r.options.Devices + r.options.Uploaders), UnitBytes: 16 << 10,
 		ReadClass: settings.Classes[0], WriteClass: classNamed(settings, writeClass),
 		Roots:         []config.SFTPRoot{{Path: fileRoot, Plan: "business", Volume: 7, Gateways: 1}},
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -35,6 +35,7 @@
 	RestartInterval     time.Duration // mean time between restarts of the gateway; 0: no restarts
 	ReplacementInterval time.Duration // mean time between replacements of servers; 0: no replacements
 	Faults              fakestorage.Faults
+	Crowds              bool    // whether crowds hold connections of the frontends; needs a Network with real sockets
 	QuirkRate           float64 // fraction of the exchanges that have a quirk, see fakedevice
 	Network             gateway.Network
 
@@ -59,6 +60,8 @@
 	Restarts     int              // number of restarts of the gateway
 	Replacements int              // number of replaced servers
 	Counters     map[string]int64 // the gateway's metrics, summed over its incarnations
+	// UnreleasedBytes is the memory that the last incarnation still counts as clients' data after its end. It must be 0.
+	UnreleasedBytes int64
 }
 
 // run is the state of one soak run.
@@ -109,7 +112,8 @@
 	for _, srv := range r.servers {
 		srv.stop()
 	}
-	return &Report{Result: r.checker.Result(), Restarts: r.restarts, Replacements: r.startedServers - shardCount, Counters: r.counters}, nil
+	return &Report{Result: r.checker.Result(), Restarts: r.restarts, Replacements: r.startedServers - shardCount, Counters: r.counters,
+		UnreleasedBytes: awaitReleasedMemory(last)}, nil
 }
 
 // runDevices runs the devices and injects faults until all devices have ended.
@@ -125,6 +129,7 @@
 	stop := make(chan struct{})
 	faults.Go(func() { r.replaceServers(stop) })
 	faults.Go(func() { r.restartGateway(stop) })
+	faults.Go(func() { r.overloadFrontends(stop) })
 	devices.Wait()
 	close(stop)
 	faults.Wait()
