Do not change a request whose frontend reads it when its id comes again

Cause: the request belongs to its frontend once it is submitted; changed it in place. Change: admit returns where and for how long the request may run, and accept uses that. The test demands that the request stays as it is; it failed on the old code by construction.

--- a/internal/lifecycle/executed.go
+++ b/internal/lifecycle/executed.go
@@ -67,29 +67,36 @@
 	}
 }
 
-// admit reports whether a request may be accepted. If its id is that of a remembered request, and servers recognize the repetition, admit
-// lets it run only where and only as long as they do.
-func (e *executedRequests) admit(nowMs float64, request *Request) bool {
+// admission says where and for how long a request may run.
+type admission struct {
+	shard       int
+	remainingMs float64
+}
+
+// admit returns where and for how long a request may run. ok is false if it must not be accepted. If its id is that of a remembered request,
+// and servers recognize the repetition, it may run only where and only as long as they do. The request itself is not changed, since its
+// frontend reads it.
+func (e *executedRequests) admit(nowMs float64, request *Request) (admitted admission, ok bool) {
 	e.forget(nowMs)
+	admitted = admission{shard: request.Shard, remainingMs: request.RemainingMs}
 	earlier, class := e.byClientID[request.ClientID], e.classes[request.Class]
-	if earlier == nil || class == nil {
-		return true
+	if earlier == nil || class == nil || class.Idempotency == scheduler.Idempotent {
+		return admitted, true
 	}
 	sameKey := class.Idempotency == scheduler.IdempotentWithKey && request.IdempotencyKey == earlier.idempotencyKey
 	windowLeftMs := earlier.firstAttemptMs + clock.Ms(class.DedupWindow) - repetitionMarginMs - nowMs
+	if !sameKey || windowLeftMs <= 0 {
+		return admission{}, false
+	}
+	admitted.remainingMs = min(admitted.remainingMs, windowLeftMs)
 	switch {
-	case class.Idempotency == scheduler.Idempotent:
-		return true
-	case !sameKey || windowLeftMs <= 0:
-		return false
 	case class.DedupScope == scheduler.DedupAll:
 	case class.DedupScope == scheduler.DedupShard && (request.Shard == anyShard || request.Shard == earlier.shard):
-		request.Shard = earlier.shard
+		admitted.shard = earlier.shard
 	default:
-		return false
+		return admission{}, false
 	}
-	request.RemainingMs = min(request.RemainingMs, windowLeftMs)
-	return true
+	return admitted, true
 }
 
 // anyShard is the Request.Shard of a new object.
--- a/internal/lifecycle/executed_test.go
+++ b/internal/lifecycle/executed_test.go
@@ -44,12 +44,16 @@
 		first := &attemptState{server: &Server{Shard: shard}, sentMs: nowMs - 200}
 		executed.remember(nowMs, &Request{ClientID: "id", Class: test.class, IdempotencyKey: test.key}, first)
 		repeated := &Request{ClientID: "id", Class: test.class, IdempotencyKey: test.repeatedKey, Shard: test.repeatedShard, RemainingMs: 1e5}
-		admitted := executed.admit(nowMs-200+test.afterMs, repeated)
-		if admitted != test.admitted || admitted && repeated.Shard != test.shard {
-			t.Errorf("%s: admitted is %v with shard %d, want %v with %d", test.name, admitted, repeated.Shard, test.admitted, test.shard)
+		before := Request{Shard: repeated.Shard, RemainingMs: repeated.RemainingMs}
+		admitted, ok := executed.admit(nowMs-200+test.afterMs, repeated)
+		if ok != test.admitted || ok && admitted.shard != test.shard {
+			t.Errorf("%s: admitted is %v with shard %d, want %v with %d", test.name, ok, admitted.shard, test.admitted, test.shard)
 		}
-		if test.class == "keyed" && admitted && test.afterMs < 3000 && repeated.RemainingMs > 2000-repetitionMarginMs-test.afterMs {
-			t.Errorf("%s: the remaining time is %v ms, want it to end with the window", test.name, repeated.RemainingMs)
+		if test.class == "keyed" && ok && test.afterMs < 3000 && admitted.remainingMs > 2000-repetitionMarginMs-test.afterMs {
+			t.Errorf("%s: the remaining time is %v ms, want it to end with the window", test.name, admitted.remainingMs)
+		}
+		if repeated.Shard != before.Shard || repeated.RemainingMs != before.RemainingMs {
+			t.Errorf("%s: the request was changed, though its frontend reads it", test.name)
 		}
 	}
 }
@@ -63,7 +67,7 @@
 	if count := len(executed.byClientID); count != maxExecutedRequests || len(executed.oldestFirst) != count {
 		t.Errorf("%d requests are remembered by id and %d by time, want %d", count, len(executed.oldestFirst), maxExecutedRequests)
 	}
-	if executed.admit(0, &Request{ClientID: fmt.Sprint(maxExecutedRequests), Class: "once"}) {
+	if _, ok := executed.admit(0, &Request{ClientID: fmt.Sprint(maxExecutedRequests), Class: "once"}); ok {
 		t.Error("a late request may be repeated, want the oldest ones forgotten first")
 	}
 }
--- a/internal/lifecycle/manager.go
+++ b/internal/lifecycle/manager.go
@@ -108,18 +108,19 @@
 	// Servers identify requests by ClientID, so a server could take this request for an open one. The client of the open request must get
 	// the response to its own request only. And a request that has ended must not be executed a second time.
 	isOpen := request.ClientID != "" && m.requestsByClientID[request.ClientID] != nil
-	if isOpen || !m.executed.admit(nowMs, request) {
+	admitted, ok := m.executed.admit(nowMs, request)
+	if isOpen || !ok {
 		m.environment.Count(counterRequestsDuplicate)
 		request.Respond(Response{Kind: DuplicateID})
 		return
 	}
-	m.accept(nowMs, request)
+	m.accept(nowMs, request, admitted)
 }
 
 // accept opens a request under a new id and reports it to the scheduler.
-func (m *Manager) accept(nowMs float64, request *Request) {
+func (m *Manager) accept(nowMs float64, request *Request, admitted admission) {
 	request.id = m.nextRequestID()
-	state := &requestState{request: request, deadlineMs: nowMs + request.RemainingMs}
+	state := &requestState{request: request, deadlineMs: nowMs + admitted.remainingMs}
 	m.requests[request.id] = state
 	if request.ClientID != "" {
 		m.requestsByClientID[request.ClientID] = state
@@ -132,10 +133,10 @@
 		Plan:           request.Plan,
 		Volume:         scheduler.VolumeID(request.Volume),
 		Key:            request.Key,
-		Remaining:      clock.Duration(request.RemainingMs),
+		Remaining:      clock.Duration(admitted.remainingMs),
 		ClientDelay:    clock.Duration(request.ClientDelayMs),
 		Units:          request.Units,
-		Shard:          request.Shard,
+		Shard:          admitted.shard,
 		Gateways:       request.Gateways,
 		IsRetry:        request.IsRetry,
 		IsFirstAttempt: request.IsFirstAttempt,
