Do not try for ever to make room by a connection that is closed already

Cause: a connection stays in the list of those that send a request until the server reports its end. When it was closed in between, evicting it did nothing, and the loop that makes room, which holds the tracker's lock, chose it again for ever.

Change: a connection leaves its list as soon as its close begins, and an eviction that does nothing takes it out as well.

--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -153,6 +153,7 @@
 	if c.closingElement != nil {
 		return
 	}
+	c.removeFromList() // the server reports the end of the connection later, and nothing can be gained from it any more
 	tracker := c.tracker
 	c.closingElement = tracker.closingConns.PushBack(c)
 	c.stopCloseTimer = tracker.Clock.AfterFunc(gracefulclose.TimeoutMs, c.finishClose)
--- a/internal/frontend/httpserver/eviction.go
+++ b/internal/frontend/httpserver/eviction.go
@@ -136,6 +136,7 @@
 // tracker.mu.
 func (c *clientConn) evict(reason closeReason) {
 	if c.evictedFor != closeUnspecified || c.isShed || c.closed {
+		c.removeFromList()
 		return
 	}
 	c.noteReason(reason)
--- a/internal/frontend/httpserver/races_test.go
+++ b/internal/frontend/httpserver/races_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/memorybudget"
@@ -434,3 +435,28 @@
 		t.Errorf("%d connections count as closed without a response, want 0", violations)
 	}
 }
+
+// Guards against a tracker that tries for ever to make room by a connection that is closed already, but whose end the server has not
+// reported yet.
+func TestClosedConnectionDoesNotHoldUpShedding(t *testing.T) {
+	manualClock := clock.NewManual(0)
+	tracker := &ConnTracker{SheddingThreshold: 1, Clock: manualClock, Metrics: metrics.New()}
+	for range 2 {
+		conn, client := addConn(tracker, http.StateNew)
+		writeInBackground(client, "G")
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		manualClock.Advance(slowRequestMs / 2)
+		if err := conn.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	manualClock.Advance(slowRequestMs)
+	added := make(chan bool)
+	go func() {
+		addConn(tracker, http.StateNew)
+		close(added)
+	}()
+	receive(t, "room for another connection", added)
+}
