Log and count waits for the processor, and which clients caused the most work

Nothing in the log or the counters told why: the flooding connection was not closed, and answers_rejected_objective_missed, which grew, names the servers' latency.

Change: internal/workbudget counts the estimated work of each client connection and host in all frontends. A monitor reads the runtime's histogram of waits for a processor twice a second. If four sampled waits or more took 20 ms, it logs processor_starved with the connections and hosts that caused the most work. Counters processor_long_waits and processor_starved, gauge processor_longest_wait_us_now. Nothing is bounded yet.

--- a/internal/frontend/coapserver/conn.go
+++ b/internal/frontend/coapserver/conn.go
@@ -12,6 +12,7 @@
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/memorybudget"
+	"gaugerelay/internal/workbudget"
 )
 
 // conn is the connection of a device. One goroutine runs serve. A second one runs writeLoop while messages are queued.
@@ -19,6 +20,7 @@
 	server  *Server
 	netConn net.Conn
 	account *memorybudget.Account
+	work    *workbudget.Account
 
 	// The fields of this block are used only by the goroutine that runs serve.
 	buf         []byte
--- a/internal/frontend/coapserver/read.go
+++ b/internal/frontend/coapserver/read.go
@@ -11,6 +11,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/frontend/gracefulclose"
+	"gaugerelay/internal/workbudget"
 )
 
 const (
@@ -37,6 +38,7 @@
 	for c.setReadDeadline() {
 		count, readErr := c.netConn.Read(c.buf[c.buffered:])
 		now := time.Now()
+		c.work.Charge(workbudget.Read + workbudget.Bytes(count))
 		if count > 0 {
 			c.recordRead(count, now)
 			if err := c.handleFrames(now); err != nil {
@@ -180,6 +182,7 @@
 
 // handleFrame decodes and handles one complete frame.
 func (c *conn) handleFrame(frame []byte, now time.Time) error {
+	c.work.Charge(workbudget.Request)
 	m, err := coapwire.Decode(frame)
 	if err != nil {
 		return err
--- a/internal/frontend/coapserver/server.go
+++ b/internal/frontend/coapserver/server.go
@@ -14,6 +14,7 @@
 	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
+	"gaugerelay/internal/workbudget"
 )
 
 // Names of counters.
@@ -93,6 +94,8 @@
 	Settings *scheduler.Settings
 	// Memory bounds the memory of connections together with that of other users. nil means that there is no bound.
 	Memory *memorybudget.Budget
+	// Work counts the work of connections together with that of other frontends. It may be nil.
+	Work *workbudget.Budget
 
 	// respondByMs holds the argument of BeginShutdown as float64 bits; 0 before a shutdown.
 	respondByMs atomic.Uint64
@@ -134,6 +137,7 @@
 	s.mu.Unlock()
 	s.Metrics.Add(connectionsAccepted, 1)
 	c.account.Force(connBytes)
+	c.work = s.Work.Open(netConn.RemoteAddr())
 	c.sendCSM()
 	if draining {
 		c.release()
@@ -142,6 +146,7 @@
 		defer s.readers.Done()
 		c.serve()
 		c.account.Close()
+		c.work.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -13,6 +13,7 @@
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/httpmessage"
 	"gaugerelay/internal/memorybudget"
+	"gaugerelay/internal/workbudget"
 )
 
 const (
@@ -38,6 +39,7 @@
 	net.Conn
 	tracker      *ConnTracker
 	account      *memorybudget.Account // memory that the connection uses
+	work         *workbudget.Account   // work that the connection causes
 	acceptedAtMs float64
 	// connectedAtMs is the earliest time at which the client can have connected: the connection may have waited to be accepted.
 	connectedAtMs float64
@@ -187,6 +189,7 @@
 	}
 	c.tracker.pipelinedBytes -= c.bufferedBytes
 	c.account.Close()
+	c.work.Close()
 	c.tracker.closingConns.Remove(c.closingElement)
 	c.stopCloseTimer()
 	c.reportClose()
--- a/internal/frontend/httpserver/clientread.go
+++ b/internal/frontend/httpserver/clientread.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"gaugerelay/internal/socketstate"
+	"gaugerelay/internal/workbudget"
 )
 
 // unknownLength is the value of clientConn.bodyLeft for a body whose length is not known.
@@ -89,6 +90,7 @@
 		return c.readPipelined(p), nil
 	}
 	n, err := c.readConn(p)
+	c.work.Charge(workbudget.Read + workbudget.Bytes(n))
 	if n == 0 {
 		c.recordClientClose(err)
 		c.noteReadError(err)
@@ -146,6 +148,7 @@
 func (c *clientConn) watchForDisconnect(p []byte) (int, error) {
 	for c.discardedBytes < maxDiscardBytes {
 		n, err := c.Conn.Read(p)
+		c.work.Charge(workbudget.Read + workbudget.Bytes(n))
 		kept := c.reserveBuffer(min(n, maxPipelinedBytes-len(c.pipelined)))
 		c.pipelined = append(c.pipelined, p[:kept]...)
 		c.discardedBytes += n - kept
--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -28,6 +28,7 @@
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/shutdown"
 	"gaugerelay/internal/socketstate"
+	"gaugerelay/internal/workbudget"
 )
 
 // networkMarginMs is the part of a request's remaining time, in milliseconds, that is reserved for the network: the client
@@ -115,6 +116,7 @@
 func (h *Handler) serveStatus(w http.ResponseWriter, r *http.Request, respondByMs float64) bool {
 	switch r.URL.Path {
 	case "/ready":
+		workOf(r).Charge(workbudget.Request)
 		if respondByMs != 0 || !h.Loop.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return true
@@ -123,11 +125,13 @@
 		return true
 	case "/fleet":
 		if h.FleetStatus != nil {
+			workOf(r).Charge(workbudget.Request + workbudget.Report)
 			h.FleetStatus(w, r)
 			return true
 		}
 	case "/metrics":
 		if !h.ServesDevices { // the counters are for operators and are not shown to devices
+			workOf(r).Charge(workbudget.Request + workbudget.Report)
 			h.Metrics.WriteText(w)
 			return true
 		}
@@ -172,6 +176,7 @@
 		return
 	}
 	defer h.recordLatency(arrivedMs)
+	workOf(r).Charge(workbudget.Submission)
 	if !h.Loop.Submit(request) {
 		h.rejectInboxFull(w, r, request)
 		return
--- a/internal/frontend/httpserver/listener.go
+++ b/internal/frontend/httpserver/listener.go
@@ -47,7 +47,8 @@
 	}
 	nowMs := l.tracker.Clock.NowMs()
 	l.hadToWait = nowMs-startMs > immediateAcceptMs
-	conn := &clientConn{Conn: netConn, tracker: l.tracker, account: l.tracker.Budget.NewAccount(), bodyLeft: unknownLength,
+	conn := &clientConn{Conn: netConn, tracker: l.tracker, account: l.tracker.Budget.NewAccount(),
+		work: l.tracker.Work.Open(netConn.RemoteAddr()), bodyLeft: unknownLength,
 		acceptedAtMs: nowMs, connectedAtMs: l.queue.accepted(nowMs), onClosed: func() { <-l.slots }}
 	conn.account.Force(ConnBytes)
 	return conn, nil
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -8,6 +8,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/workbudget"
 )
 
 // writeResponse writes the final response to a request. If a transmission on a newer connection of the device has superseded
@@ -89,6 +90,7 @@
 // end of the body, and so the start of the next request, is unknown.
 func (h *Handler) rejectMalformed(w http.ResponseWriter, r *http.Request, err error) {
 	h.Metrics.Add(frontend.RequestsMalformed, 1)
+	workOf(r).Charge(workbudget.Request)
 	if conn := clientConnOf(r.Context()); conn != nil {
 		conn.noteReason(closeMalformed)
 	}
--- a/internal/frontend/sftpserver/conn.go
+++ b/internal/frontend/sftpserver/conn.go
@@ -9,6 +9,7 @@
 
 	"gaugerelay/internal/frontend/gracefulclose"
 	"gaugerelay/internal/sftpwire"
+	"gaugerelay/internal/workbudget"
 )
 
 // Timeouts of a connection.
@@ -87,7 +88,8 @@
 type conn struct {
 	net.Conn
 	memory       packetMemory
-	onDisconnect func() // called with mu held when the client has disconnected, possibly more than once
+	work         *workbudget.Account // work that the connection causes
+	onDisconnect func()              // called with mu held when the client has disconnected, possibly more than once
 	acceptedAt   time.Time
 	received     packetTracker // used only by the reading goroutine until that goroutine has ended
 
@@ -108,6 +110,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(data []byte) (int, error) {
 	c.setReadDeadline()
+	packetsBefore := c.received.completePackets
 	n, err := c.Conn.Read(data)
 	if trackErr := c.received.advance(data[:n]); trackErr != nil {
 		n, err = 0, trackErr
@@ -115,6 +118,8 @@
 	if memoryErr := c.memory.received(&c.received, n); memoryErr != nil {
 		n, err = 0, memoryErr
 	}
+	packets := c.received.completePackets - packetsBefore
+	c.work.Charge(workbudget.Read + workbudget.Bytes(n) + workbudget.Work(packets)*workbudget.Request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.receivedCount = c.received.completePackets
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -37,6 +37,7 @@
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/sftpwire"
 	"gaugerelay/internal/socketstate"
+	"gaugerelay/internal/workbudget"
 )
 
 // Names of counters.
@@ -91,6 +92,8 @@
 	Metrics  *metrics.Registry
 	// Memory bounds the memory of commands together with that of other users. nil means that there is no bound.
 	Memory *memorybudget.Budget
+	// Work counts the work of connections together with that of other frontends. It may be nil.
+	Work *workbudget.Budget
 
 	serving sync.WaitGroup // goroutines that run serveConn
 	history fileHistory
@@ -157,6 +160,8 @@
 	c.memory.account, c.memory.metrics = s.Memory.NewAccount(), s.Metrics
 	c.memory.account.Force(connBytes)
 	defer c.memory.account.Close()
+	c.work = s.Work.Open(accepted.RemoteAddr())
+	defer c.work.Close()
 	s.register(c)
 	defer s.closeAndUnregister(c)
 	s.Metrics.Add(connectionsAccepted, 1)
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -12,6 +12,7 @@
 	"gaugerelay/internal/permission"
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/upstream/httpclient"
+	"gaugerelay/internal/workbudget"
 )
 
 // reuseDelayMs is the time after a response during which its connection to a server is not reused, because the platform's
@@ -28,6 +29,7 @@
 	g := &Gateway{Clock: gatewayClock, Metrics: metrics.New(), cfg: cfg, network: network,
 		failures: make(chan error, maxPendingFailures), pauseDetector: clock.StartPauseDetector(gatewayClock)}
 	g.clientMemory = memorybudget.New(clientMemoryLimit(cfg), g.Metrics)
+	g.clientWork = workbudget.New(gatewayClock)
 	var fleet *fleetMember
 	if edge.Fleet != nil {
 		var err error
--- a/internal/gateway/clientfrontend.go
+++ b/internal/gateway/clientfrontend.go
@@ -38,6 +38,7 @@
 // newClientFrontend builds the frontend. It opens no listener.
 func newClientFrontend(g *Gateway) *clientFrontend {
 	conns := &httpserver.ConnTracker{SheddingThreshold: sheddingThreshold(maxClientConns(g.cfg)), Clock: g.Clock, Budget: g.clientMemory,
+		Work:          g.clientWork,
 		PauseDetector: g.pauseDetector,
 		Metrics:       g.Metrics, MaxPipelinedBytes: int(g.cfg.MemoryMB * pipelinedMemoryFraction * (1 << 20))}
 	handler := &httpserver.Handler{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
--- a/internal/gateway/devicefrontend.go
+++ b/internal/gateway/devicefrontend.go
@@ -64,7 +64,7 @@
 	f := &deviceFrontend{gateway: g, options: options}
 	if options.CoAP != "" {
 		link := options.Exchanges.Link
-		f.coap = &coapserver.Server{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory,
+		f.coap = &coapserver.Server{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory, Work: g.clientWork,
 			Settings: &g.cfg.Settings, Options: coapserver.Options{
 				GatewayName:         gatewayName,
 				MaxConns:            options.MaxConns,
@@ -82,7 +82,7 @@
 		f.http = &httpserver.Handler{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
 			Settings: &g.cfg.Settings, ServesDevices: true, GatewayName: gatewayName}
 		f.conns = &httpserver.ConnTracker{SheddingThreshold: sheddingThreshold(options.MaxConns), Clock: g.Clock, Metrics: g.Metrics,
-			Budget: g.clientMemory}
+			Budget: g.clientMemory, Work: g.clientWork}
 		g.clientMemory.AddEvictor(f.conns)
 	}
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 	"gaugerelay/internal/upstream/httpclient"
+	"gaugerelay/internal/workbudget"
 )
 
 // Names of counters.
@@ -51,8 +52,10 @@
 	upstream      *httpclient.Client
 	watcher       *discovery.Watcher
 	pauseDetector *clock.PauseDetector
-	memory        *memoryMonitor // nil until Start
+	memory        *memoryMonitor    // nil until Start
+	processor     *processorMonitor // nil until Start
 	clientMemory  *memorybudget.Budget
+	clientWork    *workbudget.Budget
 	components    []component // in start order
 	failures      chan error  // errors of components that have ended unexpectedly
 
@@ -76,6 +79,7 @@
 	}
 	g.Metrics.Add(counterInvalidEntries, int64(g.cfg.InvalidKnownEntries))
 	g.memory = startMemoryMonitor(g, g.cfg)
+	g.processor = startProcessorMonitor(g)
 	for i, c := range g.components {
 		if err := c.start(g.ctx); err != nil {
 			for _, started := range g.components[:i] {
@@ -83,6 +87,7 @@
 			}
 			g.cancel()
 			g.memory.close()
+			g.processor.close()
 			g.pauseDetector.Close()
 			return err
 		}
@@ -121,6 +126,7 @@
 	g.cancel()
 	g.upstream.Close()
 	g.memory.close()
+	g.processor.close()
 	g.pauseDetector.Close()
 }
 
--- a/internal/gateway/sftpfrontend.go
+++ b/internal/gateway/sftpfrontend.go
@@ -27,9 +27,10 @@
 		MaxSessions: maxSFTPSessions(g.cfg), Dial: g.network.Dial,
 		Address: func(server *lifecycle.Server) (string, bool) { return options.BackendAddress(server.Name, server.Addr) }},
 		g.Clock, g.Metrics, g.loop.Complete)
-	f.server = &sftpserver.Server{Loop: g.loop, Upstream: f.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory, Options: sftpserver.Options{
-		MaxConns: options.MaxConns, UnitBytes: options.UnitBytes, ReadClass: options.ReadClass, WriteClass: options.WriteClass,
-		Shards: g.cfg.Settings.Shards, MaxUnits: g.cfg.Settings.MaxUnits}}
+	f.server = &sftpserver.Server{Loop: g.loop, Upstream: f.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory,
+		Work: g.clientWork, Options: sftpserver.Options{
+			MaxConns: options.MaxConns, UnitBytes: options.UnitBytes, ReadClass: options.ReadClass, WriteClass: options.WriteClass,
+			Shards: g.cfg.Settings.Shards, MaxUnits: g.cfg.Settings.MaxUnits}}
 	g.clientMemory.AddEvictor(f.server)
 	if devices != nil {
 		f.server.RetentionMs = devices.Exchanges.RetentionMs
--- a/internal/logevent/event.go
+++ b/internal/logevent/event.go
@@ -31,6 +31,7 @@
 
 	ClientConnectionClosed = "client_connection_closed"
 	MemoryHigh             = "memory_high"
+	ProcessorStarved       = "processor_starved"
 
 	RequestAccepted  = "request_accepted"
 	RequestCompleted = "request_completed"
@@ -55,37 +56,41 @@
 
 // Keys of the fields of log records. The comment on a key describes the field's value. Times are in milliseconds.
 const (
-	Address       = "addr"
-	AgeMs         = "age_ms"       // time since the first transmission of a WRITE
-	ClientBytes   = "client_bytes" // memory that clients' unanswered data takes
-	LimitBytes    = "limit_bytes"
-	UsedBytes     = "used_bytes" // memory that the runtime has obtained and not returned
-	Announced     = "announced"  // true if the BGP prefixes are announced, false if they are withdrawn
-	Attempt       = "attempt"
-	Changed       = "changed" // names of the changed parts of the configuration that require a restart
-	Client        = "client"
-	Discovery     = "discovery" // address of the discovery service in use after a reload
-	Error         = "error"
-	Name          = "name"   // name of the gateway
-	Offset        = "offset" // start of the range of a WRITE in bytes
-	PacketType    = "type"   // type of an SFTP packet
-	Path          = "path"   // path of a file
-	Peer          = "peer"   // address of a BGP peer
-	Purpose       = "for"    // purpose of a listener, such as clients or file commands
-	Reason        = "reason"
-	Request       = "request"
-	RetryWithinMs = "retry_within_ms"
-	Server        = "server"
-	Member        = "member" // index of a gateway in the fleet
-	Incarnation   = "incarnation"
-	State         = "state" // state of a BGP session or of a gateway in the fleet
-	Status        = "status"
-	Text          = "text"       // text of an unstructured message
-	Suppressed    = "suppressed" // number of earlier events with the same reason that were not logged
-	TookMs        = "took_ms"
-	Unanswered    = "unanswered" // true if an accepted request has got no response
-	UploadKey     = "upload_key"
-	Version       = "version"
+	Address        = "addr"
+	AgeMs          = "age_ms"       // time since the first transmission of a WRITE
+	ClientBytes    = "client_bytes" // memory that clients' unanswered data takes
+	LimitBytes     = "limit_bytes"
+	UsedBytes      = "used_bytes" // memory that the runtime has obtained and not returned
+	Announced      = "announced"  // true if the BGP prefixes are announced, false if they are withdrawn
+	Attempt        = "attempt"
+	BusiestClients = "busiest_clients" // connections that caused the most work in about the last second, with its estimate
+	BusiestHosts   = "busiest_hosts"   // the same by host
+	Changed        = "changed"         // names of the changed parts of the configuration that require a restart
+	Client         = "client"
+	Discovery      = "discovery" // address of the discovery service in use after a reload
+	Error          = "error"
+	Name           = "name"   // name of the gateway
+	Offset         = "offset" // start of the range of a WRITE in bytes
+	PacketType     = "type"   // type of an SFTP packet
+	Path           = "path"   // path of a file
+	Peer           = "peer"   // address of a BGP peer
+	Purpose        = "for"    // purpose of a listener, such as clients or file commands
+	Reason         = "reason"
+	Request        = "request"
+	RetryWithinMs  = "retry_within_ms"
+	Server         = "server"
+	LongestWaitMs  = "longest_wait_ms" // lower bound of the longest sampled wait for a processor
+	LongWaits      = "long_waits"      // number of sampled waits for a processor that were long
+	Member         = "member"          // index of a gateway in the fleet
+	Incarnation    = "incarnation"
+	State          = "state" // state of a BGP session or of a gateway in the fleet
+	Status         = "status"
+	Text           = "text"       // text of an unstructured message
+	Suppressed     = "suppressed" // number of earlier events with the same reason that were not logged
+	TookMs         = "took_ms"
+	Unanswered     = "unanswered" // true if an accepted request has got no response
+	UploadKey      = "upload_key"
+	Version        = "version"
 )
 
 // Setup sets the default logger to one that writes records of the given level and above to out as text. Output of the
