Reproduce late answers beside floods of requests the gateway answers itself, failing

Change: floods have ten more kinds for HTTP (status pages, unknown paths, requests with 1 ms left, Expect, blank lines, large writes, chunks of one byte and others), failing file commands and Pings of devices; several connections, one request a write, and one request a connection. Bystanders draw their remaining time from a list, and their latencies are kept. Gateways of the chaos harness may have the frontends for file commands and devices, and fewer cores than one: such a process is stopped for a part of each 20 ms.

--- a/internal/testbed/chaos/flood_test.go
+++ b/internal/testbed/chaos/flood_test.go
@@ -3,6 +3,9 @@
 package chaos
 
 import (
+	"flag"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,62 +14,189 @@
 	"gaugerelay/internal/testbed/overload"
 )
 
-// floodPlay is a flood of one kind at one gateway, beside clients that overload nothing.
+// allFloods makes TestFloodsLeaveOthersTheirAnswers play all floods, which takes long, in place of a few.
+var allFloods = flag.Bool("all-floods", false, "play all kinds of floods on all numbers of cores and connections")
+
+const (
+	// maxLateFraction is the part of the bystanders' requests that may get no response in their time.
+	maxLateFraction = 0.002
+	// minServedOfCalm is the part that must be served of what is served without a flood.
+	minServedOfCalm = 0.97
+	// maxAddedLatency is what the 99th percentile of the latency may be higher than without a flood.
+	maxAddedLatency = 150 * time.Millisecond
+	// floodTime is how long a flood goes on, and longFloodTime how long one of the long ones does.
+	floodTime     = 5 * time.Second
+	longFloodTime = 30 * time.Second
+)
+
+// bystanderDeadlinesMs are the remaining times of the bystanders' requests beside floods.
+var bystanderDeadlinesMs = []int{300, 500, 650, 1400}
+
+// floodPlay is a flood at one gateway, beside clients that overload nothing.
 type floodPlay struct {
-	kind          overload.FloodKind
-	conns         int
-	readResponses bool
-	duration      time.Duration
+	flood    overload.FloodOptions
+	cores    float64
+	memoryMB int
+	duration time.Duration
+}
+
+// String describes the play.
+func (p floodPlay) String() string {
+	return fmt.Sprintf("%v, %v cores, %v", p.flood, p.cores, p.duration)
+}
+
+// floodOutcome is what a play shows.
+type floodOutcome struct {
+	play       floodPlay
+	result     *Result
+	requests   int
+	bystanders overload.BystanderResult
+	peakMB     float64
+	log        []string
+}
+
+// run plays the flood on a gateway process.
+func (p floodPlay) run(t *testing.T, binary string, deadlinesMs []int) floodOutcome {
+	t.Helper()
+	h, err := newHarness(Options{Binary: binary, Gateways: 1, Shards: 8, Seed: 1, MemoryMB: p.memoryMB, MaxSockets: 1024, Cores: p.cores,
+		EdgeFrontends: p.flood.Kind >= overload.HTTPFloodKindCount})
+	defer h.close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, stop := h.gateways[0], make(chan struct{})
+	h.throttleGateways()
+	h.goroutines.Go(h.watchUsage)
+	outcome := floodOutcome{play: p}
+	var running sync.WaitGroup
+	running.Go(func() {
+		outcome.bystanders = overload.Bystanders(h.bystanderTarget(g), overload.BystanderOptions{Interval: 20 * time.Millisecond, KeptConns: 6,
+			KeptPause: 20 * time.Millisecond, RetryWithin: 1500 * time.Millisecond, DeadlinesMs: deadlinesMs}, 1, stop)
+	})
+	time.Sleep(warmUpTime)
+	if p.flood.Connections > 0 {
+		running.Go(func() { outcome.requests = overload.Flood(h.floodTarget(g, p.flood.Kind), p.flood, 1, stop) })
+	}
+	time.Sleep(p.duration)
+	close(stop)
+	running.Wait()
+	h.stopTraffic()
+	outcome.result = h.finish()
+	outcome.peakMB = float64(g.peakUsage.PeakMemoryBytes) / (1 << 20)
+	outcome.log = h.log.Lines()
+	bystanders := &outcome.bystanders
+	t.Logf("%v: %d requests written; bystanders: %d of %d served, %d refused, %d late, %d lost, p99 %v; peak %.1f MB of %d", p,
+		outcome.requests, bystanders.Served, bystanders.Requests, bystanders.Refused, bystanders.Unanswered, bystanders.Lost,
+		bystanders.LatencyQuantile(0.99).Round(time.Millisecond), outcome.peakMB, p.memoryMB)
+	return outcome
+}
+
+// floodTarget returns the frontend that a kind of flood is for.
+func (h *harness) floodTarget(g *gateway, kind overload.FloodKind) overload.Target {
+	target := h.overloadTarget(g)
+	switch kind {
+	case overload.FailingFileCommands:
+		target.Addr = g.edge.files
+	case overload.DevicePings:
+		target.Addr = g.edge.coap
+	}
+	return target
+}
+
+// checkUnbroken checks that the play broke no rule.
+func (o *floodOutcome) checkUnbroken(t *testing.T) {
+	t.Helper()
+	if o.result.ViolationCount() > 0 || o.bystanders.Lost > 0 {
+		t.Errorf("%v: %v %v", o.play, o.result.Violations, o.bystanders.Losses)
+	}
+}
+
+// checkBystanders compares the bystanders of the play with those of one without a flood.
+func (o *floodOutcome) checkBystanders(t *testing.T, calm *overload.BystanderResult) {
+	t.Helper()
+	bystanders := &o.bystanders
+	if late := 1 - bystanders.AnsweredFraction(); late > maxLateFraction {
+		t.Errorf("%v: %.1f %% of the requests got no response in their time, want at most %.1f %%", o.play, 100*late, 100*maxLateFraction)
+	}
+	if served, want := bystanders.ServedFraction(), minServedOfCalm*calm.ServedFraction(); served < want {
+		t.Errorf("%v: %.1f %% of the requests were served, want %.1f %%", o.play, 100*served, 100*want)
+	}
+	if added := bystanders.LatencyQuantile(0.99) - calm.LatencyQuantile(0.99); added > maxAddedLatency {
+		t.Errorf("%v: the 99th percentile of the latency is %v higher than without a flood, want at most %v", o.play, added, maxAddedLatency)
+	}
+	if t.Failed() {
+		for _, line := range o.log {
+			if strings.Contains(line, "processor_") {
+				t.Log(line)
+			}
+		}
+	}
 }
 
 // Guards against memory that grows without end, and against clients that get no response in time, while others send requests at full
 // speed, also under ever new names. The gateway has the least memory that deployments give.
 func TestFloodsLeaveMemoryAndTime(t *testing.T) {
-	const memoryMB, sockets = 32, 1024
+	const memoryMB = 32
 	binary := testbed.BuildGateway(t)
 	for _, play := range []floodPlay{
-		{overload.ValidRequests, 1, false, 3 * time.Second},
-		{overload.UnsoundRequests, 1, true, 3 * time.Second},
-		{overload.UnknownNames, 4, true, 3 * time.Second},
-		{overload.NewNames, 100, true, 12 * time.Second},
+		{overload.FloodOptions{Kind: overload.ValidRequests, Connections: 1}, 1, memoryMB, 3 * time.Second},
+		{overload.FloodOptions{Kind: overload.UnsoundRequests, Connections: 1, ReadResponses: true}, 1, memoryMB, 3 * time.Second},
+		{overload.FloodOptions{Kind: overload.UnknownNames, Connections: 4, ReadResponses: true}, 1, memoryMB, 3 * time.Second},
+		{overload.FloodOptions{Kind: overload.NewNames, Connections: 100, ReadResponses: true}, 1, memoryMB, 12 * time.Second},
 	} {
-		h, err := newHarness(Options{Binary: binary, Gateways: 1, Shards: 8, Seed: 1, MemoryMB: memoryMB, MaxSockets: sockets})
-		if err != nil {
-			h.close()
-			t.Fatal(err)
-		}
-		g, stop := h.gateways[0], make(chan struct{})
-		var running sync.WaitGroup
-		var bystanders overload.BystanderResult
-		h.goroutines.Go(h.watchUsage)
-		running.Go(func() {
-			bystanders = overload.Bystanders(h.bystanderTarget(g), overload.BystanderOptions{Interval: 20 * time.Millisecond, KeptConns: 4,
-				KeptPause: 100 * time.Millisecond, RetryWithin: 1500 * time.Millisecond}, 1, stop)
-		})
-		var mu sync.Mutex
-		flooded := 0
-		for conn := range play.conns {
-			running.Go(func() {
-				sent := overload.Flood(h.overloadTarget(g), play.kind, play.readResponses, uint64(conn), stop)
-				mu.Lock()
-				defer mu.Unlock()
-				flooded += sent
-			})
+		outcome := play.run(t, binary, nil)
+		outcome.checkUnbroken(t)
+		if answered := outcome.bystanders.AnsweredFraction(); answered < minAnsweredFraction {
+			t.Errorf("%v: %.1f %% of the requests were answered, want %.0f %%", play, 100*answered, 100*minAnsweredFraction)
 		}
-		time.Sleep(play.duration)
-		close(stop)
-		running.Wait()
-		h.stopTraffic()
-		result := h.finish()
-		h.close()
-		t.Logf("%v on %d connections: %d requests written; bystanders: %d of %d served, %d unanswered, %d lost; peak %.1f MB of %d", play.kind,
-			play.conns, flooded, bystanders.Served, bystanders.Requests, bystanders.Unanswered, bystanders.Lost,
-			float64(g.peakUsage.PeakMemoryBytes)/(1<<20), memoryMB)
-		if result.ViolationCount() > 0 || bystanders.Lost > 0 {
-			t.Errorf("%v: %v %v", play.kind, result.Violations, bystanders.Losses)
+	}
+}
+
+// floodPlays are the floods of TestFloodsLeaveOthersTheirAnswers.
+func floodPlays() []floodPlay {
+	const memoryMB = 192
+	var plays []floodPlay
+	add := func(cores float64, duration time.Duration, flood overload.FloodOptions) {
+		flood.ReadResponses = true
+		plays = append(plays, floodPlay{flood, cores, memoryMB, duration})
+	}
+	if !*allFloods {
+		add(1, floodTime, overload.FloodOptions{Kind: overload.ReadyRequests, Connections: 1})
+		add(1, floodTime, overload.FloodOptions{Kind: overload.MetricsRequests, Connections: 6})
+		add(0.5, floodTime, overload.FloodOptions{Kind: overload.ReadyWithBody, Connections: 100})
+		add(1, floodTime, overload.FloodOptions{Kind: overload.HeadRequests, Connections: 30, PerWrite: 1})
+		add(1, floodTime, overload.FloodOptions{Kind: overload.ReadyRequests, Connections: 100, Reconnect: true})
+		add(1, floodTime, overload.FloodOptions{Kind: overload.FailingFileCommands, Connections: 6})
+		add(1, floodTime, overload.FloodOptions{Kind: overload.DevicePings, Connections: 6})
+		return plays
+	}
+	for kind := range overload.FloodKindCount {
+		for _, cores := range []float64{1, 0.5, 2} {
+			for _, connections := range []int{1, 100} {
+				add(cores, floodTime, overload.FloodOptions{Kind: kind, Connections: connections})
+			}
 		}
-		if answered := bystanders.AnsweredFraction(); answered < minAnsweredFraction {
-			t.Errorf("%v: %.1f %% of the requests were answered, want %.0f %%", play.kind, 100*answered, 100*minAnsweredFraction)
+		add(1, floodTime, overload.FloodOptions{Kind: kind, Connections: 6, PerWrite: 1})
+		add(1, floodTime, overload.FloodOptions{Kind: kind, Connections: 100, Reconnect: true})
+		add(1, longFloodTime, overload.FloodOptions{Kind: kind, Connections: 6})
+	}
+	return plays
+}
+
+// Guards against requests of other clients that are answered late, never or with 503 while some clients keep the gateway's processor busy
+// with requests that it answers itself (report e7234b).
+func TestFloodsLeaveOthersTheirAnswers(t *testing.T) {
+	binary := testbed.BuildGateway(t)
+	calm := map[float64]*overload.BystanderResult{} // by cores
+	for _, play := range floodPlays() {
+		if calm[play.cores] == nil {
+			outcome := floodPlay{cores: play.cores, memoryMB: play.memoryMB, duration: floodTime}.run(t, binary, bystanderDeadlinesMs)
+			calm[play.cores] = &outcome.bystanders
 		}
+		t.Run(play.String(), func(t *testing.T) {
+			outcome := play.run(t, binary, bystanderDeadlinesMs)
+			outcome.checkUnbroken(t)
+			outcome.checkBystanders(t, calm[play.cores])
+		})
 	}
 }
--- a/internal/testbed/chaos/gateway.go
+++ b/internal/testbed/chaos/gateway.go
@@ -39,6 +39,7 @@
 	kills        []process.Interval // from SIGKILL until the gateway is ready again
 	terminations []process.Interval // from SIGTERM until the gateway is ready again
 	pauses       []process.Interval // from SIGSTOP to SIGCONT
+	edge         *edgeAddresses     // nil without the frontends for file commands and devices
 	crowds       []process.Interval // while a crowd holds connections
 	peakUsage    process.Usage      // largest usage of any of its processes
 }
@@ -52,7 +53,12 @@
 	name := fmt.Sprintf("n%d", index)
 	g := &gateway{dir: filepath.Join(h.dir, name), limits: h.drawLimits(index),
 		Process: &process.Process{Index: index, Name: name, ListenAddr: listenAddr, Binary: h.options.Binary, Log: h.log}}
-	if err := g.WriteConfig(g.dir, h.gatewayConfig(g), nil); err != nil {
+	if h.options.EdgeFrontends {
+		if g.edge, err = newEdgeAddresses(index); err != nil {
+			return nil, err
+		}
+	}
+	if err := g.WriteConfig(g.dir, h.gatewayConfig(g), g.edge.config()); err != nil {
 		return nil, err
 	}
 	if h.options.FailSystemCalls {
--- a/internal/testbed/chaos/harness.go
+++ b/internal/testbed/chaos/harness.go
@@ -125,11 +125,21 @@
 func (h *harness) startTraffic() {
 	h.goroutines.Go(h.detectStalls)
 	h.goroutines.Go(h.watchUsage)
+	h.throttleGateways()
 	for _, c := range h.clients {
 		h.goroutines.Go(func() { c.sendRequests(h.options.RequestRate, h.options.Shards, h.stop, &h.goroutines) })
 	}
 }
 
+// throttleGateways throttles the gateways that have less than one core, until the run ends.
+func (h *harness) throttleGateways() {
+	for _, g := range h.gateways {
+		if cores := g.limits.Cores; cores < 1 {
+			h.goroutines.Go(func() { g.Throttle(cores, h.stop) })
+		}
+	}
+}
+
 // stopTraffic ends clients and faults and waits for them.
 func (h *harness) stopTraffic() {
 	close(h.stop)
--- a/internal/testbed/chaos/options.go
+++ b/internal/testbed/chaos/options.go
@@ -22,6 +22,8 @@
 	Faults          []string // names of the faults to inject; empty: all faults
 	MemoryMB        int      // memory limit of each gateway; 0: drawn for each
 	MaxSockets      int      // limit on the descriptors of each gateway; 0: drawn for each
+	Cores           float64  // cores of each gateway; 0: drawn for each. A gateway with less than one is throttled
+	EdgeFrontends   bool     // whether gateways have the frontends for file commands and devices
 	Overload        bool     // whether crowds, floods and leaving clients overload the gateways
 	// LogOutput receives the merged log of all processes if an invariant was violated. It may be nil.
 	LogOutput io.Writer
--- a/internal/testbed/chaos/overloadfaults.go
+++ b/internal/testbed/chaos/overloadfaults.go
@@ -17,6 +17,8 @@
 	minCrowdFactor, maxCrowdFactor = 0.5, 2.0
 	// clientSocketFraction is the part of a gateway's descriptors that its clients may use.
 	clientSocketFraction = 3.0 / 8
+	// maxFloodConns is the largest number of connections of a flood.
+	maxFloodConns = 30
 	// maxCrowdClients bounds a crowd, since the clients of all crowds run in one process.
 	maxCrowdClients = 800
 )
@@ -100,10 +102,27 @@
 	overload.Crowd(h.overloadTarget(g), kind, clients, random.Uint64(), stop)
 }
 
-// floodGateway floods a gateway on one connection.
+// floodGateway floods a gateway with requests.
 func floodGateway(h *harness, g *gateway, random *rand.Rand, stop <-chan struct{}) {
-	kind := overload.FloodKind(random.IntN(int(overload.FloodKindCount)))
-	overload.Flood(h.overloadTarget(g), kind, random.IntN(2) == 0, random.Uint64(), stop)
+	options := drawFlood(random)
+	h.log.Printf("(a flood of %s: %v)", g.Name, options)
+	overload.Flood(h.overloadTarget(g), options, random.Uint64(), stop)
+}
+
+// drawFlood draws what a flood sends, and how.
+func drawFlood(random *rand.Rand) overload.FloodOptions {
+	options := overload.FloodOptions{Kind: overload.FloodKind(random.IntN(int(overload.HTTPFloodKindCount))), Connections: 1,
+		ReadResponses: random.IntN(2) == 0}
+	if random.IntN(2) == 0 {
+		options.Connections += random.IntN(maxFloodConns)
+	}
+	switch random.IntN(4) {
+	case 0:
+		options.PerWrite = 1
+	case 1:
+		options.Reconnect = true
+	}
+	return options
 }
 
 // leaveGateway lets clients leave with unread responses and repeat some of their requests.
--- a/internal/testbed/chaos/usage.go
+++ b/internal/testbed/chaos/usage.go
@@ -15,6 +15,7 @@
 var (
 	drawnMemoryMB = []int{64, 96, 192}
 	drawnSockets  = []int{256, 1024}
+	drawnCores    = []float64{1, 1, 0.5}
 )
 
 // drawLimits returns the limits of a gateway.
@@ -22,6 +23,10 @@
 	random := rand.New(rand.NewPCG(h.options.Seed, limitsStream+uint64(index)<<8))
 	limits := process.Limits{Cores: 1, MemoryMB: drawnMemoryMB[random.IntN(len(drawnMemoryMB))],
 		Sockets: drawnSockets[random.IntN(len(drawnSockets))]}
+	limits.Cores = drawnCores[random.IntN(len(drawnCores))]
+	if h.options.Cores > 0 {
+		limits.Cores = h.options.Cores
+	}
 	if h.options.MemoryMB > 0 {
 		limits.MemoryMB = h.options.MemoryMB
 	}
--- a/internal/testbed/cluster/cluster.go
+++ b/internal/testbed/cluster/cluster.go
@@ -177,7 +177,7 @@
 		}
 	}
 	peers = append(peers, c.byzantine.addr())
-	return &process.EdgeConfig{Fleet: process.FleetConfig{Listen: gateway.PeerAddr, Self: gateway.Index, Peers: peers, Key: fleetKey,
+	return &process.EdgeConfig{Fleet: &process.FleetConfig{Listen: gateway.PeerAddr, Self: gateway.Index, Peers: peers, Key: fleetKey,
 		PeriodMs: gossipPeriodMs, LeaseMs: c.options.LeaseMs}}
 }
 
--- a/internal/testbed/overload/bystander.go
+++ b/internal/testbed/overload/bystander.go
@@ -8,8 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // BystanderOptions are the parameters of Bystanders.
@@ -18,17 +21,19 @@
 	KeptConns   int           // clients that keep their connections and send a further request as soon as one is answered
 	KeptPause   time.Duration // time for which such a client is idle between two requests
 	RetryWithin time.Duration // time for which a request is sent again on another connection if its connection ends
+	DeadlinesMs []int         // remaining times of the requests, drawn for each; empty: that of the target
 }
 
 // BystanderResult is what clients that overload nothing saw.
 type BystanderResult struct {
 	Requests   int
 	Served     int
-	Refused    int      // responses 429 and 503
-	Failed     int      // other responses
-	Unanswered int      // requests without a response in time
-	Lost       int      // connections that ended after a whole request was written to them and before the whole response
-	Losses     []string // descriptions of the first losses
+	Refused    int             // responses 429 and 503
+	Failed     int             // other responses
+	Unanswered int             // requests without a response in time
+	Lost       int             // connections that ended after a whole request was written to them and before the whole response
+	Losses     []string        // descriptions of the first losses
+	Latencies  []time.Duration // times until the responses, in the order of their ends
 }
 
 // retryPause is the time after which a request whose connection has ended is sent again.
@@ -51,6 +56,15 @@
 	return float64(r.Served) / float64(max(1, r.Requests))
 }
 
+// LatencyQuantile returns a quantile of the latencies, 0 if there are none.
+func (r *BystanderResult) LatencyQuantile(q float64) time.Duration {
+	if len(r.Latencies) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(r.Latencies))
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
 // bystanders are the clients of one call of Bystanders.
 type bystanders struct {
 	target  *Target
@@ -82,7 +96,7 @@
 	random := rand.New(rand.NewPCG(b.seed, uint64(client)))
 	var conn net.Conn
 	for number := 0; !isClosed(stop); number++ {
-		conn = b.send(conn, b.target.newRead(fmt.Sprintf("kept-%x-%d-%d", b.seed, client, number), random))
+		conn = b.send(conn, b.newRequest(fmt.Sprintf("kept-%x-%d-%d", b.seed, client, number), random))
 		sleep(stop, b.options.KeptPause)
 	}
 	if conn != nil {
@@ -92,12 +106,21 @@
 
 // sendOnNewConn sends a request on a new connection and closes it.
 func (b *bystanders) sendOnNewConn(id string) {
-	random := rand.New(rand.NewPCG(b.seed, uint64(len(id))))
-	if conn := b.send(nil, b.target.newRead(id, random)); conn != nil {
+	random := rand.New(rand.NewPCG(b.seed, xxhash.Sum64String(id)))
+	if conn := b.send(nil, b.newRequest(id, random)); conn != nil {
 		conn.Close()
 	}
 }
 
+// newRequest draws a request.
+func (b *bystanders) newRequest(id string, random *rand.Rand) *Request {
+	request := b.target.newRead(id, random)
+	if deadlines := b.options.DeadlinesMs; len(deadlines) > 0 {
+		request.DeadlineMs = deadlines[random.IntN(len(deadlines))]
+	}
+	return request
+}
+
 // send sends a request on conn, or on a new connection if conn is nil, and counts its outcome. If the connection ends without a response,
 // it repeats the request on another one. It returns the connection, or nil if it has ended.
 func (b *bystanders) send(conn net.Conn, request *Request) net.Conn {
@@ -115,7 +138,7 @@
 		}
 		status, writtenAt, err := exchange(conn, request, deadline)
 		if err == nil {
-			b.count(status)
+			b.count(status, time.Since(startedAt))
 			return conn
 		}
 		if conn != nil {
@@ -167,10 +190,11 @@
 }
 
 // count counts a request with a response.
-func (b *bystanders) count(status int) {
+func (b *bystanders) count(status int, latency time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.result.Requests++
+	b.result.Latencies = append(b.result.Latencies, latency)
 	switch status {
 	case http.StatusOK:
 		b.result.Served++
--- a/internal/testbed/overload/flood.go
+++ b/internal/testbed/overload/flood.go
@@ -4,98 +4,126 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strings"
+	"sync"
 	"time"
 )
 
-// FloodKind is what a flood sends.
-type FloodKind uint8
+// FloodOptions are the parameters of Flood.
+type FloodOptions struct {
+	Kind          FloodKind
+	Connections   int  // connections that flood at the same time
+	ReadResponses bool // whether responses are read
+	PerWrite      int  // requests in one write; 0: floodBatch
+	Reconnect     bool // whether each connection sends one request, waits for its response, and is closed
+}
+
+// String describes the flood.
+func (o FloodOptions) String() string {
+	text := fmt.Sprintf("%v on %d connections", o.Kind, o.Connections)
+	if o.PerWrite > 0 {
+		text += fmt.Sprintf(", %d in a write", o.PerWrite)
+	}
+	if o.Reconnect {
+		text += ", each with one request"
+	}
+	return text
+}
 
-// Kinds of floods.
 const (
-	ValidRequests   FloodKind = iota // valid requests
-	UnsoundRequests                  // requests that cannot be read or served
-	NewNames                         // valid requests, each with a new volume, id and key
-	UnknownNames                     // requests, each with a new class, plan or volume that no settings name
-	FloodKindCount
+	// floodBatch is the number of requests in one write of a flood.
+	floodBatch = 50
+	// floodWriteTimeout bounds a write of a flood.
+	floodWriteTimeout = 2 * time.Second
+	// reconnectTimeout bounds the wait for a response where each connection sends one request.
+	reconnectTimeout = time.Second
 )
 
-var floodKindNames = [FloodKindCount]string{"valid", "unsound", "new-names", "unknown-names"}
-
-// String returns the name of the kind.
-func (k FloodKind) String() string {
-	if k < FloodKindCount {
-		return floodKindNames[k]
+// Flood sends requests at full speed until stop is closed, and returns their number. A connection that ends is replaced.
+func Flood(target Target, options FloodOptions, seed uint64, stop <-chan struct{}) (requests int) {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	for number := range max(1, options.Connections) {
+		f := flooder{target: &target, options: options, seed: seed, number: number,
+			random: rand.New(rand.NewPCG(seed, uint64(options.Kind)+uint64(number)<<8)), stop: stop}
+		running.Go(func() {
+			f.run()
+			mu.Lock()
+			defer mu.Unlock()
+			requests += f.sent
+		})
 	}
-	return fmt.Sprintf("FloodKind(%d)", uint8(k))
+	running.Wait()
+	return requests
 }
 
-// floodBatch is the number of requests in one write of a flood.
-const floodBatch = 50
+// flooder is one client of a flood, with one connection at a time.
+type flooder struct {
+	target  *Target
+	options FloodOptions
+	seed    uint64
+	number  int
+	random  *rand.Rand
+	stop    <-chan struct{}
+	sent    int // number of requests that have been written
+}
 
-// Flood sends requests at full speed on one connection at a time until stop is closed, and returns their number. The responses are read
-// if readResponses is set.
-func Flood(target Target, kind FloodKind, readResponses bool, seed uint64, stop <-chan struct{}) (requests int) {
-	random := rand.New(rand.NewPCG(seed, uint64(kind)))
-	for !isClosed(stop) {
-		requests += floodConn(&target, kind, readResponses, seed, random, requests, stop)
-		sleep(stop, time.Millisecond)
+// run floods until stop is closed.
+func (f *flooder) run() {
+	for !isClosed(f.stop) {
+		conn, err := f.target.dial()
+		if err != nil {
+			sleep(f.stop, time.Millisecond)
+			continue
+		}
+		if f.options.Reconnect {
+			f.sendOne(conn)
+			conn.Close()
+			continue
+		}
+		f.flood(conn)
+		conn.Close()
+		sleep(f.stop, time.Millisecond)
 	}
-	return requests
 }
 
-// floodConn floods one connection until it ends or stop is closed. first is the number of its first request.
-func floodConn(target *Target, kind FloodKind, readResponses bool, seed uint64, random *rand.Rand, first int, stop <-chan struct{}) (sent int) {
-	conn, err := target.dial()
-	if err != nil {
-		return 0
+// sendOne sends one request and waits until its response begins or the connection ends.
+func (f *flooder) sendOne(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(reconnectTimeout))
+	if _, err := io.WriteString(conn, f.options.Kind.preamble()+f.request()); err != nil {
+		return
 	}
-	defer conn.Close()
-	if readResponses {
+	f.sent++
+	var first [1]byte
+	_, _ = conn.Read(first[:]) // only the time of the response matters
+}
+
+// flood sends requests on a connection until it ends or stop is closed.
+func (f *flooder) flood(conn net.Conn) {
+	if f.options.ReadResponses {
 		go func() { _, _ = io.Copy(io.Discard, conn) }() // ends with the connection
 	}
-	for !isClosed(stop) {
-		var batch strings.Builder
-		for number := range floodBatch {
-			batch.WriteString(floodRequest(target, kind, random, fmt.Sprintf("flood-%x-%d", seed, first+sent+number)))
+	perWrite := f.options.PerWrite
+	if perWrite == 0 {
+		perWrite = floodBatch
+	}
+	batch := f.options.Kind.preamble()
+	for !isClosed(f.stop) {
+		var requests strings.Builder
+		for range perWrite {
+			requests.WriteString(f.request())
+			f.sent++
 		}
-		conn.SetWriteDeadline(time.Now().Add(pollInterval * 20))
-		if _, err := io.WriteString(conn, batch.String()); err != nil {
-			return sent
+		conn.SetWriteDeadline(time.Now().Add(floodWriteTimeout))
+		if _, err := io.WriteString(conn, batch+requests.String()); err != nil {
+			return
 		}
-		sent += floodBatch
+		batch = ""
 	}
-	return sent
 }
 
-// floodRequest returns the bytes of one request of a flood.
-func floodRequest(target *Target, kind FloodKind, random *rand.Rand, id string) string {
-	request := target.newRead(id, random)
-	switch kind {
-	case NewNames:
-		request = target.newWrite(id, random, 0)
-		request.Volume, request.Shard = random.Uint64(), AnyShard
-	case UnknownNames:
-		request.Volume = random.Uint64()
-		request.Plan, request.Class = fmt.Sprintf("plan-%x", random.Uint64()), fmt.Sprintf("class-%x", random.Uint64())
-	case UnsoundRequests:
-		return unsound(request, random)
-	}
-	return request.Head()
-}
-
-// unsound returns a request with a fault.
-func unsound(request *Request, random *rand.Rand) string {
-	switch random.IntN(5) {
-	case 0:
-		return "noise\r\n\r\n"
-	case 1:
-		return strings.Replace(request.Head(), "X-Time-Left-Ms: ", "X-Time-Left-Ms: soon", 1)
-	case 2:
-		return strings.Replace(request.Head(), "X-IO: ", "X-Io-Missing: ", 1)
-	case 3:
-		return strings.Replace(request.Head(), "Content-Length: 0", "Content-Length: -7", 1)
-	default:
-		return strings.Replace(request.Head(), "X-Correlation-Id: ", "X-Correlation-Id: \x01", 1)
-	}
+// request returns the bytes of the next request.
+func (f *flooder) request() string {
+	return floodRequest(f.target, f.options.Kind, f.random, fmt.Sprintf("flood-%x-%d-%d", f.seed, f.number, f.sent))
 }
--- a/internal/testbed/process/config.go
+++ b/internal/testbed/process/config.go
@@ -68,7 +68,9 @@
 
 // EdgeConfig is the content of the operator's file, which a gateway reads if it is started with -edge.
 type EdgeConfig struct {
-	Fleet FleetConfig `json:"fleet"`
+	Fleet   *FleetConfig   `json:"fleet,omitempty"`
+	SFTP    map[string]any `json:"sftp,omitempty"`    // frontend for file commands
+	Devices map[string]any `json:"devices,omitempty"` // frontends for devices
 }
 
 // FleetConfig names the peers of a gateway in the operator's file.
