Bound the processor time that HTTP clients may take, and let more work wait

Cause: nothing bounds the work for requests that the gateway answers itself. With one processor, a connection's goroutine and the one that watches for its disconnect hand the processor to each other without end; what the network makes ready waits in the runtime's global run queue. Evidence, trials with one connection: GODEBUG=schedtrace shows 14 to 142 goroutines in the global queue, none in the local one, and 400 scheduler ticks a second; processor_starved shows waits of 2.1 s. Excluded by that: locks, blocked writes and a poller that is asked too rarely (the goroutines are runnable); yielding after /ready alone makes all bystanders punctual (0 of 6,069 late). The 503s are the same waits: 224 of 258 were objective_missed, as a pause is taken off a request's time.

Class: work for a client that no budget bounds.

Change: workbudget limits the work of a connection to a twentieth of the cores, of a host to a third, of all to half. Before each read a connection repays its own debt; connections that do much, and responses that the gateway makes itself (status pages, errors, also those of net/http), wait for host and total in the order of start tags. Bytes that are discarded are charged as small segments. Waits of 2 s, and pipelined requests after 2 s of debt, end with 503 and the close reason too_much_work. The time a read was delayed counts against the request.

--- a/internal/frontend/httpserver/clientconn.go
+++ b/internal/frontend/httpserver/clientconn.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -66,6 +65,8 @@
 
 	head           headScanner // the head that is being read
 	wasPipelined   bool        // whether the head of the current request was sent before the last response
+	handled        bool        // whether a Handler has seen the current request
+	delayedSinceMs float64     // earliest time at which the current request can have arrived, as its reading was delayed; 0: it was not
 	answeredFirst  bool        // whether a response has been written
 	requestActive  bool        // whether a complete head has been read and the response has not been written yet
 	bodyLeft       int64       // bytes of the current request's body that have not been read; unknownLength if that is not known
@@ -86,6 +87,7 @@
 // response was written or that the client no longer waits for one. If the handler panics while clientWaiting returns true, the
 // response stays pending, and closeLocked counts it in closedWithoutResponse.
 func (c *clientConn) trackResponse(clientWaiting func() bool) (handlerDone func()) {
+	c.handled = true
 	c.responsePending.Store(true)
 	return func() {
 		panicValue := recover()
@@ -118,6 +120,7 @@
 // Write records that a response could not be written. net/http then closes the connection while the handler still writes: the client has
 // disconnected or does not read, so that it has not been left without a response.
 func (c *clientConn) Write(p []byte) (int, error) {
+	c.awaitOwnResponse()
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.recordClientClose(err)
@@ -142,7 +145,7 @@
 		// The goroutine ends when the connection is closed, at the latest by the timer that closeWrite has set.
 		go func() {
 			_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed, which the next read reports
-			_, _ = io.Copy(io.Discard, c.Conn) // an error ends the wait just as EOF does
+			c.discardUntilClosed()
 			c.finishClose()
 		}()
 	}
--- a/internal/frontend/httpserver/clientread.go
+++ b/internal/frontend/httpserver/clientread.go
@@ -47,6 +47,9 @@
 // readHead reads bytes of a head. If the request must be rejected before it is complete, it writes the response itself, since net/http
 // would close the connection without one, and returns io.EOF, upon which net/http closes the connection.
 func (c *clientConn) readHead(p []byte) (int, error) {
+	if reason := c.awaitRead(); reason != closeUnspecified {
+		return 0, c.reject(responseBusy, reason)
+	}
 	n, err := c.readRequest(p)
 	if reason := c.evictionReason(); reason != closeUnspecified {
 		return 0, c.reject(responseBusy, reason)
@@ -72,6 +75,10 @@
 	if c.bodyLeft >= 0 {
 		p = p[:min(int64(len(p)), c.bodyLeft)]
 	}
+	if !c.work.AwaitRead() {
+		c.noteReason(closeTooMuchWork)
+		return 0, errEvicted
+	}
 	n, err := c.readRequest(p)
 	if c.evictionReason() != closeUnspecified {
 		return 0, errEvicted
@@ -148,7 +155,7 @@
 func (c *clientConn) watchForDisconnect(p []byte) (int, error) {
 	for c.discardedBytes < maxDiscardBytes {
 		n, err := c.Conn.Read(p)
-		c.work.Charge(workbudget.Read + workbudget.Bytes(n))
+		c.work.Charge(workbudget.Read + workbudget.UnwantedBytes(n))
 		kept := c.reserveBuffer(min(n, maxPipelinedBytes-len(c.pipelined)))
 		c.pipelined = append(c.pipelined, p[:kept]...)
 		c.discardedBytes += n - kept
@@ -156,6 +163,7 @@
 			c.recordClientClose(err)
 			return 0, err
 		}
+		_ = c.work.AwaitRead() // the response that is being waited for ends the connection, if needed
 		if len(p) == 1 {
 			p = make([]byte, discardBufferBytes)
 		}
@@ -164,8 +172,11 @@
 }
 
 // earliestArrival returns the earliest time at which the current request, read at nowMs, can have arrived: the first one may have waited
-// while the connection waited to be accepted.
+// while the connection waited to be accepted, and each one while the reading was delayed.
 func (c *clientConn) earliestArrival(nowMs float64) float64 {
+	if c.delayedSinceMs != 0 {
+		nowMs = min(nowMs, c.delayedSinceMs)
+	}
 	if c.answeredFirst {
 		return nowMs
 	}
@@ -197,7 +208,7 @@
 
 // endRequest resets what belongs to one request.
 func (c *clientConn) endRequest() {
-	c.answeredFirst, c.wasPipelined = true, false
+	c.answeredFirst, c.wasPipelined, c.handled, c.delayedSinceMs = true, false, false, 0
 	c.account.Release(c.requestBytes)
 	c.arrivalMu.Lock()
 	c.hasArrived = false
--- a/internal/frontend/httpserver/closereason.go
+++ b/internal/frontend/httpserver/closereason.go
@@ -32,13 +32,14 @@
 	closeUnreadResponse               // to make room: the client did not read its response
 	closeTooManyFields                // the head of a request has too many fields
 	closeMemory                       // clients' data takes too much memory
+	closeTooMuchWork                  // the client keeps the gateway busier than it may
 	closeTooManyClosing               // too many connections waited for their clients to close them
 	closeReasonCount
 )
 
 var closeReasonNames = [closeReasonCount]string{"unspecified", "client_closed", "client_reset", "idle_timeout", "read_timeout",
 	"write_failed", "invalid_head", "malformed", "after_response", "too_much_pipelined", "silent_shed", "idle_shed", "shutdown",
-	"slow_request", "unread_response", "too_many_fields", "memory", "too_many_closing"}
+	"slow_request", "unread_response", "too_many_fields", "memory", "too_much_work", "too_many_closing"}
 
 // String returns the name of the reason in logs and counters.
 func (r closeReason) String() string {
--- a/internal/frontend/httpserver/conntracker.go
+++ b/internal/frontend/httpserver/conntracker.go
@@ -55,7 +55,7 @@
 	MaxPipelinedBytes int
 	// Budget bounds the memory of all connections together with that of other users. nil means that there is no bound.
 	Budget *memorybudget.Budget
-	// Work counts the work of all connections together with that of other frontends. It may be nil.
+	// Work bounds the work of all connections together with that of other frontends. nil means that there is no bound.
 	Work *workbudget.Budget
 	// PauseDetector tells since when connections may have waited to be accepted. If it is nil, no pause is assumed.
 	PauseDetector *clock.PauseDetector
@@ -92,14 +92,6 @@
 	return c
 }
 
-// workOf returns the account of the work of a request's connection, or nil if the connection is not tracked.
-func workOf(r *http.Request) *workbudget.Account {
-	if conn := clientConnOf(r.Context()); conn != nil {
-		return conn.work
-	}
-	return nil
-}
-
 // ConnState updates the state of a connection. It is meant for http.Server.ConnState.
 func (t *ConnTracker) ConnState(netConn net.Conn, state http.ConnState) {
 	conn, ok := netConn.(*clientConn)
--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -116,7 +116,9 @@
 func (h *Handler) serveStatus(w http.ResponseWriter, r *http.Request, respondByMs float64) bool {
 	switch r.URL.Path {
 	case "/ready":
-		workOf(r).Charge(workbudget.Request)
+		if !h.awaitWork(w, r, workbudget.Request) {
+			return true
+		}
 		if respondByMs != 0 || !h.Loop.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return true
@@ -125,14 +127,16 @@
 		return true
 	case "/fleet":
 		if h.FleetStatus != nil {
-			workOf(r).Charge(workbudget.Request + workbudget.Report)
-			h.FleetStatus(w, r)
+			if h.awaitWork(w, r, workbudget.Request+workbudget.Report) {
+				h.FleetStatus(w, r)
+			}
 			return true
 		}
 	case "/metrics":
 		if !h.ServesDevices { // the counters are for operators and are not shown to devices
-			workOf(r).Charge(workbudget.Request + workbudget.Report)
-			h.Metrics.WriteText(w)
+			if h.awaitWork(w, r, workbudget.Request+workbudget.Report) {
+				h.Metrics.WriteText(w)
+			}
 			return true
 		}
 	}
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -90,7 +90,9 @@
 // end of the body, and so the start of the next request, is unknown.
 func (h *Handler) rejectMalformed(w http.ResponseWriter, r *http.Request, err error) {
 	h.Metrics.Add(frontend.RequestsMalformed, 1)
-	workOf(r).Charge(workbudget.Request)
+	if !h.awaitWork(w, r, workbudget.Request) {
+		return
+	}
 	if conn := clientConnOf(r.Context()); conn != nil {
 		conn.noteReason(closeMalformed)
 	}
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -29,7 +29,7 @@
 	g := &Gateway{Clock: gatewayClock, Metrics: metrics.New(), cfg: cfg, network: network,
 		failures: make(chan error, maxPendingFailures), pauseDetector: clock.StartPauseDetector(gatewayClock)}
 	g.clientMemory = memorybudget.New(clientMemoryLimit(cfg), g.Metrics)
-	g.clientWork = workbudget.New(gatewayClock)
+	g.clientWork = workbudget.New(clientCores(cfg), gatewayClock, g.Metrics)
 	var fleet *fleetMember
 	if edge.Fleet != nil {
 		var err error
--- a/internal/gateway/component.go
+++ b/internal/gateway/component.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"gaugerelay/internal/clock"
@@ -59,6 +60,14 @@
 // maxSFTPSessions returns the limit on SFTP connections to servers.
 func maxSFTPSessions(cfg *config.Config) int { return max(1, cfg.MaxSockets/16) }
 
+// clientCores returns the number of cores of which clients may take a part.
+func clientCores(cfg *config.Config) float64 {
+	if cfg.Cores > 0 {
+		return cfg.Cores
+	}
+	return float64(runtime.GOMAXPROCS(0))
+}
+
 // sheddingThreshold returns the number of open connections above which an httpserver.ConnTracker closes new and idle ones. It is
 // below maxConns, the limit on open connections, so that clients can connect while connections are being closed. It is at least 1.
 func sheddingThreshold(maxConns int) int { return max(1, maxConns*15/16) }
