Bound the processor time of clients with file commands and of devices

What callers saw: beside devices that send Pings at full speed, 77 of 488 requests of other clients were late (TestFloodsLeaveOthers- TheirAnswers); failing file commands raised the 99th percentile of the latency from 6 to 46 ms.

Change: both frontends wait for the connection's part of the processor before they read, and for that of the host and of all clients if the connection does much.

--- a/internal/frontend/coapserver/read.go
+++ b/internal/frontend/coapserver/read.go
@@ -27,6 +27,7 @@
 	errMessageTooLarge    = errors.New("a message over the size that this side told")
 	errNoCSM              = errors.New("the first message must be a CSM")
 	errUnexpectedResponse = errors.New("a response to no request")
+	errTooMuchWork        = errors.New("more messages than this side handles")
 	errTokenInUse         = errors.New("a token that is in use")
 )
 
@@ -36,6 +37,11 @@
 	defer gracefulclose.Close(c.netConn)
 	defer c.close()
 	for c.setReadDeadline() {
+		if !c.work.AwaitRead() {
+			c.server.Metrics.Add(connectionsTooMuchWork, 1)
+			c.abort(errTooMuchWork)
+			return
+		}
 		count, readErr := c.netConn.Read(c.buf[c.buffered:])
 		now := time.Now()
 		c.work.Charge(workbudget.Read + workbudget.Bytes(count))
--- a/internal/frontend/coapserver/server.go
+++ b/internal/frontend/coapserver/server.go
@@ -27,6 +27,7 @@
 	connectionsRefused       = "device_connections_refused"
 	connectionsShed          = "device_connections_shed"
 	connectionsEvicted       = "device_connections_evicted"
+	connectionsTooMuchWork   = "device_connections_too_much_work"
 	connectionsWithoutMemory = "device_connections_without_memory"
 	messagesTruncated        = "device_messages_truncated"
 	requestsOverLimit        = "device_requests_over_limit"
@@ -94,7 +95,7 @@
 	Settings *scheduler.Settings
 	// Memory bounds the memory of connections together with that of other users. nil means that there is no bound.
 	Memory *memorybudget.Budget
-	// Work counts the work of connections together with that of other frontends. It may be nil.
+	// Work bounds the work of connections together with that of other frontends. nil means that there is no bound.
 	Work *workbudget.Budget
 
 	// respondByMs holds the argument of BeginShutdown as float64 bits; 0 before a shutdown.
--- a/internal/frontend/sftpserver/conn.go
+++ b/internal/frontend/sftpserver/conn.go
@@ -25,7 +25,10 @@
 // packetHeaderSize is the size in bytes of the length and the type at the start of a packet.
 const packetHeaderSize = 5
 
-var errPacketLength = errors.New("SFTP packet length is out of range")
+var (
+	errPacketLength = errors.New("SFTP packet length is out of range")
+	errTooMuchWork  = errors.New("the client sends more SFTP packets than the gateway handles")
+)
 
 // packetTracker tracks the boundaries of packets in a byte stream.
 type packetTracker struct {
@@ -111,7 +114,7 @@
 func (c *conn) Read(data []byte) (int, error) {
 	c.setReadDeadline()
 	packetsBefore := c.received.completePackets
-	n, err := c.Conn.Read(data)
+	n, err := c.readPaced(data)
 	if trackErr := c.received.advance(data[:n]); trackErr != nil {
 		n, err = 0, trackErr
 	}
@@ -133,6 +136,16 @@
 	return n, err
 }
 
+// readPaced reads from the connection once the client may cause more work. The deadline of the read has been set before the wait, which is
+// short compared with it.
+func (c *conn) readPaced(data []byte) (int, error) {
+	if !c.work.AwaitRead() {
+		c.memory.metrics.Add(connectionsTooMuchWork, 1)
+		return 0, errTooMuchWork
+	}
+	return c.Conn.Read(data)
+}
+
 // setReadDeadline sets the deadline of the next read, unless reading has been stopped.
 func (c *conn) setReadDeadline() {
 	timeout := idleTimeout
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -42,14 +42,15 @@
 
 // Names of counters.
 const (
-	connectionsAccepted  = "file_connections"
-	commandsTruncated    = "file_commands_truncated"
-	commandsMalformed    = "file_commands_malformed"
-	connectionsEvicted   = "file_connections_evicted"
-	packetsWithoutMemory = "file_packets_without_memory"
-	writesRejoined       = "file_writes_rejoined"
-	writesNotRejoined    = "file_writes_not_rejoined"
-	writesRestored       = "file_writes_restored"
+	connectionsAccepted    = "file_connections"
+	commandsTruncated      = "file_commands_truncated"
+	commandsMalformed      = "file_commands_malformed"
+	connectionsEvicted     = "file_connections_evicted"
+	connectionsTooMuchWork = "file_connections_too_much_work"
+	packetsWithoutMemory   = "file_packets_without_memory"
+	writesRejoined         = "file_writes_rejoined"
+	writesNotRejoined      = "file_writes_not_rejoined"
+	writesRestored         = "file_writes_restored"
 )
 
 // Root assigns a directory and everything below it to a volume. The requests for its files count against that volume.
@@ -92,7 +93,7 @@
 	Metrics  *metrics.Registry
 	// Memory bounds the memory of commands together with that of other users. nil means that there is no bound.
 	Memory *memorybudget.Budget
-	// Work counts the work of connections together with that of other frontends. It may be nil.
+	// Work bounds the work of connections together with that of other frontends. nil means that there is no bound.
 	Work *workbudget.Budget
 
 	serving sync.WaitGroup // goroutines that run serveConn
