Let chaos check requests beside floods, with times from 0.3 s, on all frontends

Cause: chaos's clients have 0.4 s or more left, or next to nothing, and few of them fall into a flood, so that it did not notice answers that came late beside one.

Change: beside each flood, other clients send requests with 0.3 to 1.4 s left to the same gateway, on new and on kept connections. Gateways of chaos have the frontends for file commands and devices, and their floods are drawn as well.

--- a/cmd/faultbench/chaos.go
+++ b/cmd/faultbench/chaos.go
@@ -39,7 +39,7 @@
 	}
 	options := chaos.Options{Binary: binary, Gateways: c.Processes, FleetSize: c.Siblings, Shards: c.Shards,
 		Duration: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed, RequestRate: c.Rate, PushDiscovery: c.Push,
-		Faults: faults, FailSystemCalls: c.Shims, DebugLog: c.Debug, Overload: c.Overload,
+		Faults: faults, FailSystemCalls: c.Shims, DebugLog: c.Debug, Overload: c.Overload, EdgeFrontends: c.Overload,
 		MemoryMB: c.Memory, MaxSockets: c.Sockets}
 	if c.Verbose {
 		options.LogOutput = os.Stdout
--- a/internal/testbed/chaos/checker.go
+++ b/internal/testbed/chaos/checker.go
@@ -54,6 +54,7 @@
 		c.checkDuplicates(r, arrivals)
 		c.countBesideCrowd(r)
 	}
+	c.checkBesideFloods()
 	c.checkKeptOut()
 }
 
--- a/internal/testbed/chaos/flood_test.go
+++ b/internal/testbed/chaos/flood_test.go
@@ -91,18 +91,6 @@
 	return outcome
 }
 
-// floodTarget returns the frontend that a kind of flood is for.
-func (h *harness) floodTarget(g *gateway, kind overload.FloodKind) overload.Target {
-	target := h.overloadTarget(g)
-	switch kind {
-	case overload.FailingFileCommands:
-		target.Addr = g.edge.files
-	case overload.DevicePings:
-		target.Addr = g.edge.coap
-	}
-	return target
-}
-
 // checkUnbroken checks that the play broke no rule.
 func (o *floodOutcome) checkUnbroken(t *testing.T) {
 	t.Helper()
--- a/internal/testbed/chaos/harness.go
+++ b/internal/testbed/chaos/harness.go
@@ -36,14 +36,16 @@
 	stop       chan struct{}  // channel that is closed to end clients, faults and the stall detector
 	goroutines sync.WaitGroup // goroutines of clients, faults and the stall detector
 
-	mu               sync.Mutex
-	servers          []*server // all servers that were started, also those that are closed
-	current          []*server // for each shard: the server that was added to the endpoint list last
-	replacing        []bool    // for each shard: whether its server is being replaced or restarted
-	stalls           []process.Interval
-	faultCount       int
-	crashes          []string
-	metricViolations []string // nonzero violation counters of gateways
+	mu                  sync.Mutex
+	servers             []*server // all servers that were started, also those that are closed
+	current             []*server // for each shard: the server that was added to the endpoint list last
+	replacing           []bool    // for each shard: whether its server is being replaced or restarted
+	stalls              []process.Interval
+	faultCount          int
+	crashes             []string
+	besideFloods        int // number of requests sent beside floods
+	missingBesideFloods []missingBesideFlood
+	metricViolations    []string // nonzero violation counters of gateways
 }
 
 // Run starts the fakes and the gateways, injects faults for the duration of the run, and checks the invariants. An error
--- a/internal/testbed/chaos/overload_test.go
+++ b/internal/testbed/chaos/overload_test.go
@@ -83,13 +83,6 @@
 	return outcome
 }
 
-// bystanderTarget returns what clients that overload nothing send to a gateway.
-func (h *harness) bystanderTarget(g *gateway) overload.Target {
-	target := h.overloadTarget(g)
-	target.Volume = uint64(firstVolume + g.Index)
-	return target
-}
-
 // crowdOutcomes holds the outcomes of crowdPlays. The tests that check them play them once.
 var crowdOutcomes struct {
 	mu       sync.Mutex
--- a/internal/testbed/chaos/overloadfaults.go
+++ b/internal/testbed/chaos/overloadfaults.go
@@ -104,14 +104,55 @@
 
 // floodGateway floods a gateway with requests.
 func floodGateway(h *harness, g *gateway, random *rand.Rand, stop <-chan struct{}) {
-	options := drawFlood(random)
+	options := h.drawFlood(random)
 	h.log.Printf("(a flood of %s: %v)", g.Name, options)
-	overload.Flood(h.overloadTarget(g), options, random.Uint64(), stop)
+	seed := random.Uint64()
+	h.goroutines.Go(func() { h.sendBesideFlood(g, seed, stop) })
+	overload.Flood(h.floodTarget(g, options.Kind), options, seed, stop)
+}
+
+// besideFloodDeadlinesMs are the remaining times of the requests of clients beside a flood.
+var besideFloodDeadlinesMs = []int{300, 400, 500, 650, 1000, 1400}
+
+// sendBesideFlood sends valid requests to a gateway while it is flooded, and records those whose responses are missing responseSlack after
+// their time.
+func (h *harness) sendBesideFlood(g *gateway, seed uint64, stop <-chan struct{}) {
+	result := overload.Bystanders(h.bystanderTarget(g), overload.BystanderOptions{Interval: 100 * time.Millisecond, KeptConns: 3,
+		KeptPause: 100 * time.Millisecond, RetryWithin: time.Second, AnswerGrace: responseSlack, DeadlinesMs: besideFloodDeadlinesMs}, seed, stop)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.besideFloods += result.Requests
+	for _, missing := range result.Missing {
+		h.missingBesideFloods = append(h.missingBesideFloods, missingBesideFlood{missing, g.Index})
+	}
+}
+
+// bystanderTarget returns what clients that overload nothing send to a gateway.
+func (h *harness) bystanderTarget(g *gateway) overload.Target {
+	target := h.overloadTarget(g)
+	target.Volume = uint64(firstVolume + g.Index)
+	return target
+}
+
+// floodTarget returns the frontend that a kind of flood is for.
+func (h *harness) floodTarget(g *gateway, kind overload.FloodKind) overload.Target {
+	target := h.overloadTarget(g)
+	switch kind {
+	case overload.FailingFileCommands:
+		target.Addr = g.edge.files
+	case overload.DevicePings:
+		target.Addr = g.edge.coap
+	}
+	return target
 }
 
 // drawFlood draws what a flood sends, and how.
-func drawFlood(random *rand.Rand) overload.FloodOptions {
-	options := overload.FloodOptions{Kind: overload.FloodKind(random.IntN(int(overload.HTTPFloodKindCount))), Connections: 1,
+func (h *harness) drawFlood(random *rand.Rand) overload.FloodOptions {
+	kinds := overload.HTTPFloodKindCount
+	if h.options.EdgeFrontends {
+		kinds = overload.FloodKindCount
+	}
+	options := overload.FloodOptions{Kind: overload.FloodKind(random.IntN(int(kinds))), Connections: 1,
 		ReadResponses: random.IntN(2) == 0}
 	if random.IntN(2) == 0 {
 		options.Connections += random.IntN(maxFloodConns)
--- a/internal/testbed/overload/bystander.go
+++ b/internal/testbed/overload/bystander.go
@@ -21,6 +21,7 @@
 	KeptConns   int           // clients that keep their connections and send a further request as soon as one is answered
 	KeptPause   time.Duration // time for which such a client is idle between two requests
 	RetryWithin time.Duration // time for which a request is sent again on another connection if its connection ends
+	AnswerGrace time.Duration // time after its own for which a client still waits for a response, which is then late
 	DeadlinesMs []int         // remaining times of the requests, drawn for each; empty: that of the target
 }
 
@@ -28,12 +29,22 @@
 type BystanderResult struct {
 	Requests   int
 	Served     int
-	Refused    int             // responses 429 and 503
-	Failed     int             // other responses
-	Unanswered int             // requests without a response in time
-	Lost       int             // connections that ended after a whole request was written to them and before the whole response
-	Losses     []string        // descriptions of the first losses
-	Latencies  []time.Duration // times until the responses, in the order of their ends
+	Refused    int               // responses 429 and 503
+	Failed     int               // other responses
+	Late       int               // responses after the time of the client, within AnswerGrace
+	Missing    []MissingResponse // requests without a response in time
+	Unanswered int               // requests without a response in time
+	Lost       int               // connections that ended after a whole request was written to them and before the whole response
+	Losses     []string          // descriptions of the first losses
+	Latencies  []time.Duration   // times until the responses, in the order of their ends
+}
+
+// MissingResponse is a request without a response in time.
+type MissingResponse struct {
+	ID        string
+	StartedAt time.Time // when the client began to connect or to write
+	WrittenAt time.Time // when the whole request had been written; zero if it was not
+	EndedAt   time.Time
 }
 
 // retryPause is the time after which a request whose connection has ended is sent again.
@@ -48,7 +59,7 @@
 
 // AnsweredFraction returns the fraction of the requests that got a response in time.
 func (r *BystanderResult) AnsweredFraction() float64 {
-	return 1 - float64(r.Unanswered)/float64(max(1, r.Requests))
+	return 1 - float64(r.Unanswered+r.Late)/float64(max(1, r.Requests))
 }
 
 // ServedFraction returns the fraction of the requests that were served.
@@ -136,9 +147,9 @@
 		if conn != nil {
 			local = conn.LocalAddr().String()
 		}
-		status, writtenAt, err := exchange(conn, request, deadline)
+		status, writtenAt, err := exchange(conn, request, deadline.Add(b.options.AnswerGrace))
 		if err == nil {
-			b.count(status, time.Since(startedAt))
+			b.count(status, time.Since(startedAt), time.Now().After(deadline))
 			return conn
 		}
 		if conn != nil {
@@ -151,7 +162,7 @@
 			b.countLoss(request, local, startedAt, err)
 		}
 		if timedOut || time.Now().After(retryUntil) {
-			b.countUnanswered()
+			b.countUnanswered(request, writtenAt, startedAt)
 			return nil
 		}
 		conn = nil
@@ -190,11 +201,14 @@
 }
 
 // count counts a request with a response.
-func (b *bystanders) count(status int, latency time.Duration) {
+func (b *bystanders) count(status int, latency time.Duration, late bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.result.Requests++
 	b.result.Latencies = append(b.result.Latencies, latency)
+	if late {
+		b.result.Late++
+	}
 	switch status {
 	case http.StatusOK:
 		b.result.Served++
@@ -206,11 +220,12 @@
 }
 
 // countUnanswered counts a request without a response.
-func (b *bystanders) countUnanswered() {
+func (b *bystanders) countUnanswered(request *Request, writtenAt, startedAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.result.Requests++
 	b.result.Unanswered++
+	b.result.Missing = append(b.result.Missing, MissingResponse{request.ID, startedAt, writtenAt, time.Now()})
 }
 
 // countLoss counts a connection from a local address that ended under a request.
