Answer no further Pings of a device while messages wait for it

What operators saw: beside devices that send Pings at full speed, a gateway used 164 to 168 MB of its 192.

Cause: requests wait while 16 messages are queued on their connection, Pings did not: each added a Pong to the queue.

Change: a Ping waits for room in the queue like a request. File clients have no such path: the library answers each command before its window of commands moves on. In HTTP, a connection has one response at a time.

Result: TestPongsOfPingFloodAreBounded had 2,001 messages in the queue before and at most 17 now.

--- a/internal/frontend/coapserver/signaling.go
+++ b/internal/frontend/coapserver/signaling.go
@@ -36,6 +36,7 @@
 	case codes.CSM:
 		return c.handleCSM(m, now)
 	case codes.Ping:
+		c.awaitQueueSpace(m.Token)
 		c.sendPong(m)
 	case codes.Pong:
 		c.handlePong(now)
