Let the soak draw floods of all frontends

Cause: the soak drew crowds that stop within their requests, and no client that sends at full speed.

Change: every other overload is a flood: HTTP on the platform's or the devices' frontend, failing file commands, or Pings of devices, on up to four connections, also with one request each.

--- a/internal/testbed/soak/crowds.go
+++ b/internal/testbed/soak/crowds.go
@@ -32,14 +32,19 @@
 	coapBeginning = []byte{0x00, 0xe1, 0xe0, 0x74, 0x23, 0x03}
 )
 
-// overloadFrontends lets crowds of clients that stop within their requests hold connections of the frontends, one crowd after the other,
+// overloadFrontends lets crowds of clients that stop within their requests hold connections of the frontends, and floods keep them busy, one
+// after the other,
 // until stop is closed.
 func (r *run) overloadFrontends(stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(r.options.Seed, crowdStream))
 	for r.options.Crowds {
 		ended := make(chan struct{})
 		timer := time.AfterFunc(crowdTime, func() { close(ended) })
-		r.runCrowd(random, ended)
+		if random.IntN(2) == 0 {
+			r.runFlood(random, ended)
+		} else {
+			r.runCrowd(random, ended)
+		}
 		timer.Stop()
 		select {
 		case <-stop:
@@ -59,13 +64,37 @@
 		overload.Announcers(r.frontendAddr(coapFrontend), coapBeginning, clients, ended)
 	default:
 		frontends := []frontend{platformFrontend, httpFrontend}
-		target := overload.Target{Addr: r.frontendAddr(frontends[random.IntN(len(frontends))]), ReadClass: readClass, WriteClass: writeClass,
-			Plan: "basic", Volume: 99, Shards: shardCount, DeadlineMs: 1000}
+		target := r.overloadTarget(frontends[random.IntN(len(frontends))])
 		kinds := []overload.CrowdKind{overload.EndlessHead, overload.HalfBody, overload.HeadThenHalfBody, overload.SlowWriter, overload.Silent}
 		overload.Crowd(target, kinds[random.IntN(len(kinds))], clients, random.Uint64(), ended)
 	}
 }
 
+// maxFloodConns is the largest number of connections of a flood. Its clients share the process with the gateway.
+const maxFloodConns = 4
+
+// runFlood draws a flood of one of the frontends and runs it until ended is closed.
+func (r *run) runFlood(random *rand.Rand, ended <-chan struct{}) {
+	options := overload.FloodOptions{Kind: overload.FloodKind(random.IntN(int(overload.FloodKindCount))),
+		Connections: 1 + random.IntN(maxFloodConns), ReadResponses: true, Reconnect: random.IntN(4) == 0}
+	target := r.overloadTarget(platformFrontend)
+	switch {
+	case options.Kind == overload.FailingFileCommands:
+		target.Addr = r.frontendAddr(sftpFrontend)
+	case options.Kind == overload.DevicePings:
+		target.Addr = r.frontendAddr(coapFrontend)
+	case random.IntN(2) == 0:
+		target.Addr = r.frontendAddr(httpFrontend)
+	}
+	overload.Flood(target, options, random.Uint64(), ended)
+}
+
+// overloadTarget returns what the clients of an overload send to a frontend for HTTP.
+func (r *run) overloadTarget(f frontend) overload.Target {
+	return overload.Target{Addr: r.frontendAddr(f), ReadClass: readClass, WriteClass: writeClass, Plan: "basic", Volume: 99, Shards: shardCount,
+		DeadlineMs: 1000}
+}
+
 // awaitReleasedMemory returns the bytes that a gateway still counts as clients' data after it has shut down. Unless some are never
 // released, they are 0 within leakTolerance.
 func awaitReleasedMemory(g *gateway.Gateway) int64 {
