Find an earlier run of a keyed request by its key when the retry has a fresh id

Cause: a request that has ended was found by its id alone, while the protocol says that a retry has a fresh id. An earlier request that was still open was not found at all.

Change: requests that may have been executed, open or ended, are also found by class, volume, data and key. A retry for a new object within the deduplication window runs at the shard of the first run, as long as servers recognize it; after the window it is a new request. For one gateway; gateways do not know each other's requests.

--- a/internal/lifecycle/attempts.go
+++ b/internal/lifecycle/attempts.go
@@ -186,6 +186,7 @@
 	}
 	delete(m.requests, state.request.id)
 	delete(m.requestsByClientID, state.request.ClientID)
+	m.executed.end(state)
 	if first := state.firstPossiblyExecuted(); first != nil {
 		m.executed.remember(nowMs, state.request, first)
 	}
--- a/internal/lifecycle/executed_test.go
+++ b/internal/lifecycle/executed_test.go
@@ -58,15 +58,62 @@
 	}
 }
 
+// Guards against keys that run at two shards because a client's retry has a fresh id.
+func TestRetriesWithFreshIDsRunAtTheSameShard(t *testing.T) {
+	const nowMs, shard, window = 1e6, 3, 2000
+	class := func(name string, idempotency scheduler.Idempotency, scope scheduler.DedupScope) scheduler.Class {
+		return scheduler.Class{Name: name, Idempotency: idempotency, DedupScope: scope, DedupWindow: window * time.Millisecond, Deadline: time.Second}
+	}
+	classes := []scheduler.Class{class("keyed", scheduler.IdempotentWithKey, scheduler.DedupShard),
+		class("keyed-zone", scheduler.IdempotentWithKey, scheduler.DedupZone), class("keyed-all", scheduler.IdempotentWithKey, scheduler.DedupAll),
+		class("once", scheduler.NotIdempotent, scheduler.DedupAll)}
+	for _, test := range []struct {
+		name, class, idempotencyKey string
+		volume, key                 uint64
+		repeatedShard               int
+		afterMs                     float64
+		shard                       int
+		limited                     bool // whether the request must end with the window
+	}{
+		{"to any shard", "keyed", "k", 7, 9, anyShard, 100, shard, true},
+		{"to the same shard", "keyed", "k", 7, 9, shard, 100, shard, true},
+		{"with another key", "keyed", "l", 7, 9, anyShard, 100, anyShard, false},
+		{"for other data", "keyed", "k", 7, 10, anyShard, 100, anyShard, false},
+		{"of another volume", "keyed", "k", 8, 9, anyShard, 100, anyShard, false},
+		{"after the window", "keyed", "k", 7, 9, anyShard, window, anyShard, false},
+		{"recognized in a zone", "keyed-zone", "k", 7, 9, anyShard, 100, shard, true},
+		{"recognized everywhere", "keyed-all", "k", 7, 9, anyShard, 100, anyShard, true},
+		{"not idempotent", "once", "k", 7, 9, anyShard, 100, anyShard, false},
+	} {
+		executed := newExecutedRequests(classes)
+		for number, at := range []int{shard, shard + 1} { // the second run, which servers have recognized, changes nothing
+			first := &attemptState{server: &Server{Shard: at}, sentMs: nowMs - 200 + float64(number)}
+			executed.remember(nowMs, &Request{ClientID: fmt.Sprint(number), Class: test.class, IdempotencyKey: "k", Volume: 7, Key: 9}, first)
+		}
+		repeated := &Request{ClientID: "fresh", Class: test.class, IdempotencyKey: test.idempotencyKey, Volume: test.volume, Key: test.key,
+			Shard: test.repeatedShard, RemainingMs: 1e5}
+		admitted, ok := executed.admit(nowMs-200+test.afterMs, repeated)
+		if !ok || admitted.shard != test.shard {
+			t.Errorf("%s: admitted is %v with shard %d, want true with %d", test.name, ok, admitted.shard, test.shard)
+		}
+		if limited := admitted.remainingMs <= window-repetitionMarginMs-test.afterMs; limited != test.limited {
+			t.Errorf("%s: the remaining time is %v ms; want it to end with the window: %v", test.name, admitted.remainingMs, test.limited)
+		}
+	}
+}
+
 func TestExecutedRequestsAreBounded(t *testing.T) {
 	executed := newExecutedRequests([]scheduler.Class{{Name: "once", Idempotency: scheduler.NotIdempotent, Deadline: time.Second}})
 	first := &attemptState{server: &Server{}}
 	for number := range maxExecutedRequests + 10 {
-		executed.remember(0, &Request{ClientID: fmt.Sprint(number), Class: "once"}, first)
+		executed.remember(0, &Request{ClientID: fmt.Sprint(number), Class: "once", IdempotencyKey: fmt.Sprint("k-", number)}, first)
 	}
 	if count := len(executed.byClientID); count != maxExecutedRequests || len(executed.oldestFirst) != count {
 		t.Errorf("%d requests are remembered by id and %d by time, want %d", count, len(executed.oldestFirst), maxExecutedRequests)
 	}
+	if count := len(executed.byEffect); count > maxExecutedRequests {
+		t.Errorf("%d requests are remembered by effect, want at most %d", count, maxExecutedRequests)
+	}
 	if _, ok := executed.admit(0, &Request{ClientID: fmt.Sprint(maxExecutedRequests), Class: "once"}); ok {
 		t.Error("a late request may be repeated, want the oldest ones forgotten first")
 	}
--- a/internal/lifecycle/manager.go
+++ b/internal/lifecycle/manager.go
@@ -125,6 +125,7 @@
 	if request.ClientID != "" {
 		m.requestsByClientID[request.ClientID] = state
 	}
+	m.executed.begin(state)
 	m.environment.Count(counterRequestsAccepted)
 	m.traceAccepted(request)
 	m.pendingEvents = append(m.pendingEvents, scheduler.RequestArrived{
--- a/internal/testbed/chaos/server.go
+++ b/internal/testbed/chaos/server.go
@@ -19,6 +19,7 @@
 // arrival is an attempt as a fake server received it.
 type arrival struct {
 	id            string // ID of the client's request
+	key           string // idempotency key of the request; empty: none
 	gateway       int    // index of the gateway that sent the attempt; -1: unknown
 	server        *server
 	firstByteAt   time.Time
@@ -189,7 +190,7 @@
 	a := &arrival{server: s, firstByteAt: firstByteAt, gateway: -1}
 	req, err := http.ReadRequest(in)
 	if err == nil {
-		a.id = req.Header.Get("X-Correlation-Id")
+		a.id, a.key = req.Header.Get("X-Correlation-Id"), req.Header.Get("Idempotency-Key")
 		if id, ok := parseRequestID(a.id); ok {
 			a.gateway, a.units = id.gateway, float64(id.units)
 		}
--- a/internal/testbed/overload/leave.go
+++ b/internal/testbed/overload/leave.go
@@ -26,6 +26,7 @@
 	StayFor         time.Duration // time from the write to the close
 	RepeatOneIn     int           // one in this many connections has requests repeated
 	RepeatRequests  int           // requests of such a connection that are sent again, on connections of their own
+	FreshIDs        bool          // whether requests are sent again under new ids, with their keys
 	RepeatAddresses []string      // gateways to which they are sent again; empty: the target
 }
 
@@ -55,12 +56,16 @@
 		return nil
 	}
 	var departures []Departure
-	var heads []string
+	var heads, repeatedHeads []string
 	for i := range options.PerConnection {
 		request := target.newWrite(fmt.Sprintf("leave-%x-%d-%d", seed, number, i), random, 0)
 		request.Shard = AnyShard
 		departures = append(departures, Departure{ID: request.ID})
 		heads = append(heads, request.Head())
+		if options.FreshIDs {
+			request.ID += "-again"
+		}
+		repeatedHeads = append(repeatedHeads, request.Head())
 	}
 	_, _ = io.WriteString(conn, strings.Join(heads, "")) // an error means that the gateway has closed the connection
 	time.Sleep(options.StayFor)
@@ -77,7 +82,7 @@
 		var repeats sync.WaitGroup
 		for i := range min(options.RepeatRequests, len(heads)) {
 			departures[i].Repeated = true
-			repeats.Go(func() { repeat(*target, addresses[(number+i)%len(addresses)], heads[i]) })
+			repeats.Go(func() { repeat(*target, addresses[(number+i)%len(addresses)], repeatedHeads[i]) })
 		}
 		repeats.Wait()
 	}
