--- a/internal/testbed/chaos/flood_test.go
+++ b/internal/testbed/chaos/flood_test.go
@@ -109,13 +109,18 @@
 	var mu sync.Mutex
 	var running sync.WaitGroup
 	for prober := range probers {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/ready", nil)
+		if err != nil {
+			t.Error(err)
+			break
+		}
 		client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: prober%2 == 0}}
 		running.Go(func() {
 			defer client.CloseIdleConnections()
 			time.Sleep(time.Duration(prober) * probeInterval / probers)
 			for ticker := time.NewTicker(probeInterval); ; {
 				startedAt := time.Now()
-				response, err := client.Get("http://" + addr + "/ready")
+				response, err := client.Do(request)
 				if err != nil {
 					t.Errorf("a health check failed after %v: %v", time.Since(startedAt), err)
 					return
