Count a bystander's response as late only where the client waits past its time

Cause: since chaos checks requests beside floods, a response also counted as late if the client's goroutine got to look at the clock after its time, though the response had been read before the deadline of the connection. Three clients among 2,000 on a busy machine did.

--- a/internal/testbed/overload/bystander.go
+++ b/internal/testbed/overload/bystander.go
@@ -21,7 +21,7 @@
 	KeptConns   int           // clients that keep their connections and send a further request as soon as one is answered
 	KeptPause   time.Duration // time for which such a client is idle between two requests
 	RetryWithin time.Duration // time for which a request is sent again on another connection if its connection ends
-	AnswerGrace time.Duration // time after its own for which a client still waits for a response, which is then late
+	AnswerGrace time.Duration // time after its own for which a client still waits for a response, which is then late; 0: it does not wait
 	DeadlinesMs []int         // remaining times of the requests, drawn for each; empty: that of the target
 }
 
@@ -149,7 +149,7 @@
 		}
 		status, writtenAt, err := exchange(conn, request, deadline.Add(b.options.AnswerGrace))
 		if err == nil {
-			b.count(status, time.Since(startedAt), time.Now().After(deadline))
+			b.count(status, time.Since(startedAt), b.options.AnswerGrace > 0 && time.Now().After(deadline))
 			return conn
 		}
 		if conn != nil {
