--- a/Makefile
+++ b/Makefile
@@ -58,4 +58,4 @@
 # Plays crowds and floods on one gateway process and checks its memory and its other clients. The tests have the tag overload, since the
 # clients alone need several processors, so that they must not run beside other tests.
 overload:
-	go test -count=1 -timeout 300s -tags overload -run 'TestCrowds|TestFloods' $(if $(SKIP),-skip '$(SKIP)') -v ./internal/testbed/chaos
+	go test -count=1 -timeout 300s -tags overload -run 'TestCrowds|TestFloods|TestHealthChecks' $(if $(SKIP),-skip '$(SKIP)') -v ./internal/testbed/chaos
--- a/internal/frontend/httpserver/work_test.go
+++ b/internal/frontend/httpserver/work_test.go
@@ -123,9 +123,9 @@
 		}
 		_ = conn.Close() // the gateway has closed its side
 	}
-	// All connections come from one host, which may do 4,000 microseconds of work at once and then take two fifths of the cores.
+	// All connections come from one host, which may do 4,000 microseconds of work at once and then take half of the cores.
 	elapsedMicros := float64(time.Since(startedAt).Microseconds())
-	limit := (4000 + elapsedMicros*cores*2/5) / float64(workbudget.Connection+workbudget.Request)
+	limit := (4000 + elapsedMicros*cores/2) / float64(workbudget.Connection+workbudget.Request)
 	if float64(connections) > limit+1 {
 		t.Errorf("%d connections were answered, want at most %.0f", connections, limit)
 	}
--- a/internal/testbed/chaos/flood_test.go
+++ b/internal/testbed/chaos/flood_test.go
@@ -146,10 +146,10 @@
 func (o *floodOutcome) checkProbes(t *testing.T) {
 	t.Helper()
 	slices.Sort(o.probes)
-	p99, longest := o.probes[len(o.probes)*99/100], o.probes[len(o.probes)-1]
-	t.Logf("%d health checks, p99 %v, longest %v", len(o.probes), p99.Round(time.Millisecond), longest.Round(time.Millisecond))
-	if p99 > maxProbeTime {
-		t.Errorf("%v: the 99th percentile of the health checks took %v, want at most %v", o.play, p99, maxProbeTime)
+	median, longest := o.probes[len(o.probes)/2], o.probes[len(o.probes)-1]
+	t.Logf("%d health checks, median %v, longest %v", len(o.probes), median.Round(time.Millisecond), longest.Round(time.Millisecond))
+	if longest > maxProbeTime {
+		t.Errorf("%v: a health check took %v, want at most %v", o.play, longest, maxProbeTime)
 	}
 }
 
@@ -247,9 +247,23 @@
 			outcome := play.run(t, binary, bystanderDeadlinesMs)
 			outcome.checkUnbroken(t)
 			outcome.checkBystanders(t, calm[play.cores])
-			if play.cores >= 1 && play.flood.Kind != overload.FailingFileCommands { // docs/ROADMAP.md has the figures of the others
+			if play.cores >= 1 { // the others: TestHealthChecksAreAnsweredSoonAtHalfACore
 				outcome.checkProbes(t)
 			}
 		})
 	}
 }
+
+// Guards against health checks that are answered late beside floods at a gateway that has only half a core, so that it is taken for dead.
+func TestHealthChecksAreAnsweredSoonAtHalfACore(t *testing.T) {
+	const memoryMB, cores = 192, 0.5
+	binary := testbed.BuildGateway(t)
+	for _, flood := range []overload.FloodOptions{
+		{Kind: overload.ReadyWithBody, Connections: 100, ReadResponses: true},
+		{Kind: overload.ReadyRequests, Connections: 100, Reconnect: true},
+	} {
+		play := floodPlay{flood, cores, memoryMB, floodTime}
+		outcome := play.run(t, binary, bystanderDeadlinesMs)
+		outcome.checkProbes(t)
+	}
+}
--- a/internal/workbudget/limits.go
+++ b/internal/workbudget/limits.go
@@ -3,8 +3,8 @@
 // Parts of the cores that work for clients may take. Work beyond them waits. What is left is for requests that go to servers.
 const (
 	connectionShare = 1.0 / 20 // of one connection
-	hostShare       = 2.0 / 5  // of all connections from one host
-	totalShare      = 1.0 / 2  // of all connections
+	hostShare       = 1.0 / 2  // of all connections from one host
+	totalShare      = 3.0 / 5  // of all connections
 )
 
 // Work that may be done at once after a quiet time.
