--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
-set -e
+# Builds the stand-ins of the cases 6 to 10 into bin/ of the project, after the build of the deploy file. It needs no network.
+set -eu
 cd "$(dirname "$0")"
 mkdir -p ../bin
-go build -buildvcs=false -o ../bin/review-2 ./standins-2
+GOPROXY=off GOTOOLCHAIN=local GOWORK=off CGO_ENABLED=0 go build -buildvcs=false -o ../bin/review-2 ./standins-2
