--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,6 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../bin
-GOPROXY=off GOTOOLCHAIN=local GOWORK=off CGO_ENABLED=0 go build -buildvcs=false -o ../bin/review-2 ./standins-2
+export GOPROXY=off GOTOOLCHAIN=local GOWORK=off CGO_ENABLED=0
+go build -buildvcs=false -o ../bin/review-2 ./standins-2
+go build -buildvcs=false -o ../bin/review-2-devices ./standins-2/devices
--- a/review/standins-3/rig.go
+++ b/review/standins-2/devices/main.go
@@ -1,8 +1,8 @@
-// Command standins-3 plays the cases 11 to 15 of the review. It starts the gateway as the deploy file does, with stand-ins for
+// Command review-2-devices plays the cases 8 and 10 of the review. It starts the gateway as the deploy file does, with stand-ins for
 // clients, storage nodes and the discovery agent on loopback addresses, and judges one rule in each case. All stand-ins use the
 // standard library only.
 //
-//	standins-3 CASE ROOT RECORD
+//	review-2-devices CASE ROOT RECORD
 //
 // CASE is the number of the case, ROOT the root of the project, RECORD the file that gets what was sent, answered and run. The
 // variable TROUBLE=0 leaves the disruption out. The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could
@@ -17,6 +17,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -213,12 +214,6 @@
 	return nil
 }
 
-// signal sends a signal to a gateway.
-func (r *rig) signal(g *gateway, s syscall.Signal) {
-	r.note("%s gets %s", g.name, s)
-	_ = g.cmd.Process.Signal(s)
-}
-
 // logs copies the lines of a gateway's log that contain one of the words to the record.
 func (r *rig) logs(g *gateway, words ...string) {
 	text, _ := os.ReadFile(filepath.Join(r.dir, g.name+".log"))
@@ -257,7 +252,7 @@
 
 func run() (status int) {
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE ROOT RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-2-devices CASE ROOT RECORD")
 		return 2
 	}
 	number, _ := strconv.Atoi(os.Args[1])
@@ -281,11 +276,15 @@
 	}
 	defer record.Close()
 	r := &rig{root: os.Args[2], dir: dir, trouble: os.Getenv("TROUBLE") != "0", memoryMB: 192, start: time.Now(), record: record}
-	time.AfterFunc(110*time.Second, func() {
-		r.note("the case takes too long")
+	giveUp := func(why string) {
+		r.note("%s", why)
 		r.end()
 		os.Exit(2)
-	})
+	}
+	time.AfterFunc(110*time.Second, func() { giveUp("the case takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { giveUp(fmt.Sprint("ended by ", <-signals)) }()
 	defer func() {
 		r.end()
 		var cannot cannotRun
--- a/review/standins-3/case12.go
+++ b/review/standins-2/devices/refused.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases[12] = refusedAfterRun }
+func init() { cases[8] = refusedAfterRun }
 
 // storeNode is a storage node on HTTP. A request runs when its last byte has arrived.
 type storeNode struct {
--- a/review/standins-3/case14.go
+++ b/review/standins-2/devices/stalled.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases[14] = stalledLinks }
+func init() { cases[10] = stalledLinks }
 
 // ownMemory returns the anonymous memory of a process in bytes: what it holds beside the pages of its program.
 func ownMemory(pid int) int {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -1,4 +1,4 @@
-// Command review-2 plays the cases 6 to 10 of the review: stand-ins for clients, storage nodes and discovery in this process, and
+// Command review-2 plays the cases 6, 7 and 9 of the review: stand-ins for clients, storage nodes and discovery in this process, and
 // gateways as separate processes, on loopback addresses and the real clock.
 package main
 
@@ -52,13 +52,11 @@
 // play is what a case gets.
 type play struct {
 	*record
-	trouble    bool
-	root       string // of the project
-	dir        string // temporary folder
-	gateways   int    // number of gateways that were started
-	maxSockets int    // descriptors of a gateway; 0: the usual number
-	before     string // shell commands before the start of the gateway
-	ends       []func()
+	trouble  bool
+	root     string // of the project
+	dir      string // temporary folder
+	gateways int    // number of gateways that were started
+	ends     []func()
 }
 
 var cases = map[string]func(*play) int{}
@@ -230,9 +228,9 @@
 	}
 	g := &gateway{listen: freeAddr(), config: filepath.Join(dir, "config.json"), exited: make(chan struct{})}
 	g.values = map[string]any{"name": name, "listen": g.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": p.sockets()}, "known": list, "settings": set}
+		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets}, "known": list, "settings": set}
 	p.writeJSON(g.config, g.values)
-	command := p.before + "exec bin/gaugerelay"
+	command := "exec bin/gaugerelay"
 	if edge != nil {
 		path := filepath.Join(dir, "edge.json")
 		p.writeJSON(path, edge)
@@ -297,8 +295,6 @@
 	}
 }
 
-func (g *gateway) signal(s syscall.Signal) { g.cmd.Process.Signal(s) }
-
 // metrics returns the lines of GET /metrics that have one of the prefixes.
 func (g *gateway) metrics(prefixes ...string) (lines []string) {
 	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -318,20 +314,6 @@
 	return lines
 }
 
-// sftpEdge returns an operator's file that turns on file commands.
-func sftpEdge(listen string, conns int, read string, backends map[string]string) map[string]any {
-	return map[string]any{"sftp": map[string]any{"listen": listen, "max_connections": conns, "unit_bytes": 16384,
-		"read_class": read, "write_class": "push", "backends": backends,
-		"roots": []any{map[string]any{"path": "/layers", "volume": "00000003b4d60021", "plan": "business", "hosts": 1}}}}
-}
-
-// httpNode starts a storage node's address for HTTP, which the file cases do not use: it answers 404.
-func httpNode() string {
-	l := listen()
-	go http.Serve(l, http.NotFoundHandler())
-	return l.Addr().String()
-}
-
 // nodes returns a list of storage nodes at the given addresses, one cell each.
 func nodes(addrs ...string) serverList {
 	list := serverList{Version: 41, Full: true}
@@ -341,10 +323,5 @@
 	return list
 }
 
-// sockets returns the number of descriptors that a gateway may have.
-func (p *play) sockets() int {
-	if p.maxSockets != 0 {
-		return p.maxSockets
-	}
-	return 512
-}
+// sockets is the number of descriptors that a gateway may have.
+const sockets = 512
