Reject requests whose body has two ends, on every path of the HTTP frontends

GET /ready by HTTP/1.1 with both fields served a write behind its chunks, and so did a folded Transfer-Encoding.

Cause: the check looked at http.Request, in which net/http has dropped Transfer-Encoding (before HTTP/1.1) or Content-Length (from then on), and only requests for servers reached it, not the status paths.

After a body in chunks the connection is closed, since the next head may have been read with it.

Why it works: the scanner sees each head before net/http interprets it, and the two readers can only disagree if the head has a Transfer-Encoding beside a Content-Length or in a version that does not know it.

--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -84,7 +84,8 @@
 // connection. The server then closes the connection without a response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrivedMs := h.PauseDetector.EarliestArrival(h.Clock.NowMs())
-	if conn := clientConnOf(r.Context()); conn != nil {
+	conn := clientConnOf(r.Context())
+	if conn != nil {
 		if conn.wasShed() { // the client sees the connection closed and sends the request again
 			panic(http.ErrAbortHandler)
 		}
@@ -94,9 +95,14 @@
 		clientWaiting := func() bool { return r.Context().Err() == nil && !socketstate.PeerClosed(conn.Conn) }
 		defer conn.trackResponse(clientWaiting)()
 	}
-	if h.keepAlivesDisabled.Load() {
+	// Bytes after a body whose length is not known may have been read with the body, unseen by conn.head.
+	if h.keepAlivesDisabled.Load() || r.ContentLength < 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if conn != nil && conn.head.hasAmbiguousLength(r.ProtoAtLeast(1, 1)) { // on every path: the rest of the body must not be read as a request
+		h.rejectMalformed(w, r, errLengthRequired)
+		return
+	}
 	if r.ContentLength == 0 && !h.take(r) {
 		h.rejectEvicted(w)
 		return
--- a/internal/frontend/httpserver/request.go
+++ b/internal/frontend/httpserver/request.go
@@ -29,7 +29,10 @@
 // Error implements error.
 func (e *malformedError) Error() string { return e.text }
 
-var errBodyTooLarge = &malformedError{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+var (
+	errBodyTooLarge   = &malformedError{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+	errLengthRequired = &malformedError{http.StatusLengthRequired, "a Content-Length is required, and no Transfer-Encoding"}
+)
 
 // parsedRequest is a parsed request with the values from which makeDeviceRequest sets request.Device.
 type parsedRequest struct {
@@ -72,11 +75,9 @@
 // rejectAmbiguous returns an error for a request whose framing, method, target or headers a server might interpret differently
 // than the gateway.
 func rejectAmbiguous(r *http.Request) error {
-	// net/http drops a Content-Length that comes with a Transfer-Encoding, as RFC 9112 allows, so a request with both headers
-	// can't be told from one with a Transfer-Encoding only. Two readers that disagree on the end of the body would allow request
-	// smuggling, so a Content-Length is required.
+	// A request with both a Content-Length and a Transfer-Encoding is rejected before (see headScanner.hasAmbiguousLength).
 	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 {
-		return &malformedError{http.StatusLengthRequired, "a Content-Length is required, and no Transfer-Encoding"}
+		return errLengthRequired
 	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPut {
 		return &malformedError{http.StatusMethodNotAllowed, "GET or PUT"}
--- a/internal/testbed/chaos/checker.go
+++ b/internal/testbed/chaos/checker.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
+	"gaugerelay/internal/testbed/overload"
 	"gaugerelay/internal/testbed/process"
 )
 
@@ -41,6 +43,7 @@
 		for _, a := range arrivals {
 			c.arrivals[a.id] = append(c.arrivals[a.id], a)
 			c.checkDrain(a)
+			c.checkNeverExecuted(a)
 		}
 		c.checkSlowStart(s, arrivals)
 	}
@@ -118,6 +121,14 @@
 	}
 }
 
+// checkNeverExecuted checks that an attempt is not of a request that the gateway must reject.
+func (c *checker) checkNeverExecuted(a *arrival) {
+	if strings.HasPrefix(a.id, overload.NeverExecutedPrefix) {
+		c.result.addViolation(&c.result.DuplicateExecutions, "%s %s, whose body was ambiguous or which was hidden in such a body, was sent to %s",
+			c.seconds(a.firstByteAt), a.id, a.server.name)
+	}
+}
+
 // checkSlowStart checks the load of a server that was started during the run: within each overloadWindow of its slow start, it
 // may get as much load as slowStartBound allows. Only attempts of gateways that had been notified of the start are counted.
 func (c *checker) checkSlowStart(s *server, arrivals []*arrival) {
--- a/internal/testbed/chaos/checker_test.go
+++ b/internal/testbed/chaos/checker_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gaugerelay/internal/testbed/overload"
 	"gaugerelay/internal/testbed/process"
 )
 
@@ -70,6 +71,9 @@
 	want   Result // only the counts of violations, as Result.String prints them
 }{
 	{"no violation", func(*record) {}, Result{}},
+	{"sent although its body is ambiguous", func(r *record) {
+		r.server.arrivals = append(r.server.arrivals, &arrival{id: overload.NeverExecutedPrefix + "1", server: r.server, firstByteAt: at(time.Minute)})
+	}, Result{DuplicateExecutions: 1}},
 	{"sent within the drain grace", func(r *record) { r.publish(process.EndpointDraining, at(time.Minute-drainGrace)) }, Result{}},
 	{"sent after the drain grace", func(r *record) {
 		r.publish(process.EndpointDraining, at(time.Minute-drainGrace-2*socketSlack))
--- a/internal/testbed/chaos/flood_test.go
+++ b/internal/testbed/chaos/flood_test.go
@@ -202,6 +202,23 @@
 	}
 }
 
+// Guards against requests that are executed although they are hidden in the body of another one, whose end readers may find in different
+// places (review/7).
+func TestFloodsOfHiddenRequestsReachNoServer(t *testing.T) {
+	binary := testbed.BuildGateway(t)
+	for _, flood := range []overload.FloodOptions{
+		{Kind: overload.HiddenRequests, Connections: 4, ReadResponses: true},
+		{Kind: overload.HiddenRequests, Connections: 4, ReadResponses: true, Reconnect: true},
+	} {
+		play := floodPlay{flood, 1, 64, 2 * time.Second}
+		outcome := play.run(t, binary, nil)
+		outcome.checkUnbroken(t)
+		if outcome.requests == 0 {
+			t.Errorf("%v: nothing was sent", play)
+		}
+	}
+}
+
 // floodPlays are the floods of TestFloodsLeaveOthersTheirAnswers.
 func floodPlays() []floodPlay {
 	const memoryMB = 192
--- a/internal/testbed/overload/floodkind.go
+++ b/internal/testbed/overload/floodkind.go
@@ -25,6 +25,7 @@
 	BlankLines                               // empty lines
 	LargeWrites                              // valid writes of nearly the largest size
 	ByteChunks                               // bodies in chunks of one byte
+	HiddenRequests                           // requests hidden in the bodies of others, whose ends readers may find in different places
 	HTTPFloodKindCount                       // number of the kinds above
 	FailingFileCommands FloodKind = iota - 1 // file commands that fail: STAT of a path below no root, and REMOVE
 	DevicePings                              // Ping messages of CoAP
@@ -32,7 +33,8 @@
 )
 
 var floodKindNames = [FloodKindCount]string{"valid", "unsound", "new-names", "unknown-names", "ready", "metrics", "head", "ready-with-body",
-	"unknown-paths", "expired", "expect", "blank-lines", "large-writes", "byte-chunks", "failing-file-commands", "device-pings"}
+	"unknown-paths", "expired", "expect", "blank-lines", "large-writes", "byte-chunks", "hidden",
+	"failing-file-commands", "device-pings"}
 
 // String returns the name of the kind.
 func (k FloodKind) String() string {
@@ -111,6 +113,8 @@
 		request = target.newWrite(id, random, 0)
 		return strings.Replace(request.fields(), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n" +
 			strings.Repeat("1\r\nb\r\n", byteChunks) + "0\r\n\r\n"
+	case HiddenRequests:
+		return ambiguous(target, random, id)
 	case FailingFileCommands:
 		return failingStat + failingRemove
 	case DevicePings:
@@ -134,3 +138,36 @@
 		return strings.Replace(request.Head(), "X-Correlation-Id: ", "X-Correlation-Id: \x01", 1)
 	}
 }
+
+// NeverExecutedPrefix begins the ids of requests that no server may get: those with an ambiguous body, and those hidden in such a body.
+const NeverExecutedPrefix = "never-"
+
+// ambiguous returns a request whose body has two ends, and contains a whole write before one of them.
+func ambiguous(target *Target, random *rand.Rand, id string) string {
+	outer := target.newWrite(NeverExecutedPrefix+"outer-"+id, random, 0)
+	hidden := target.newWrite(NeverExecutedPrefix+"hidden-"+id, random, 0).Head()
+	chunkSize := fmt.Sprintf("%x\r\n", len(hidden))
+	const lastChunk = "0\r\n\r\n"
+	body := chunkSize + hidden + "\r\n" + lastChunk // the only chunk contains the hidden write
+	outer.Length = len(chunkSize)
+	outer.ExtraField = "Connection: keep-alive\r\n" + drawEncoding(random)
+	head := outer.Head()
+	switch random.IntN(4) {
+	case 0:
+		outer.Length, body = len(lastChunk+hidden), lastChunk+hidden // the hidden write follows the chunks
+		head = outer.Head()
+	case 1:
+		_, fields, _ := strings.Cut(head, "\r\n")
+		return "GET /ready HTTP/1.0\r\n" + fields + body
+	default:
+		head = strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1)
+	}
+	return head + body
+}
+
+// drawEncoding returns a field that says that the body is in chunks, in one of the forms that readers accept.
+func drawEncoding(random *rand.Rand) string {
+	forms := [...]string{"Transfer-Encoding: chunked\r\n", "transfer-encoding:chunked\r\n", "Transfer-Encoding:\r\n chunked\r\n",
+		"Transfer-Encoding: chunked\n", "X-A: b\r\n Transfer-Encoding: chunked\r\n"}
+	return forms[random.IntN(len(forms))]
+}
