--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 	mkdir -p bin/chaos && go build -o bin/ ./cmd/faultbench && go build -tags chaos -o bin/chaos/ ./cmd/gaugerelay
 	bin/faultbench chaos --binary bin/chaos/gaugerelay --shims --processes $(PROCESSES) --seconds $(SECONDS) --seed $(SEED) $(CHAOS)
 
-# Plays crowds and floods on one gateway process and checks its memory and its other clients. The tests have the tag overload, since the
+# Plays crowds, floods and stalls on one gateway process and checks its memory and its other clients. The tests have the tag overload, since the
 # clients alone need several processors, so that they must not run beside other tests.
 overload:
-	go test -count=1 -timeout 300s -tags overload -run 'TestCrowds|TestFloods|TestHealthChecks' $(if $(SKIP),-skip '$(SKIP)') -v ./internal/testbed/chaos
+	go test -count=1 -timeout 300s -tags overload -run 'TestCrowds|TestFloods|TestHealthChecks|TestStalled' $(if $(SKIP),-skip '$(SKIP)') -v ./internal/testbed/chaos
--- a/internal/dedup/coordinator.go
+++ b/internal/dedup/coordinator.go
@@ -12,6 +12,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/dedup/exchange"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
 )
@@ -27,6 +28,8 @@
 	ExecutionIDPrefix string
 	// GatewayName is the name by which devices identify this gateway. It differs at each start.
 	GatewayName string
+	// Memory is the account of the bytes that the exchange store holds. nil means that they are not counted.
+	Memory *memorybudget.Account
 	// Metrics receives the counters.
 	Metrics *metrics.Registry
 	// NowMs returns the current time in milliseconds.
@@ -162,6 +165,7 @@
 	if request == nil {
 		return
 	}
+	request.Device.Body = nil // the frontend may keep the request until the response has been written, which may take long
 	response := lifecycle.Response{
 		Kind:          responseKinds[action.Kind],
 		RetryAfterMs:  action.RetryAfterMs,
--- a/internal/dedup/counters.go
+++ b/internal/dedup/counters.go
@@ -34,6 +34,9 @@
 		return
 	}
 	c.countedStats = stats
+	if stats.StoredBytes != counted.StoredBytes {
+		c.options.Memory.Resize(stats.StoredBytes)
+	}
 	for _, counter := range &counters {
 		if change := counter.value(&stats) - counter.value(&counted); change != 0 {
 			c.options.Metrics.Add(counter.name, int64(change))
--- a/internal/frontend/coapserver/conn.go
+++ b/internal/frontend/coapserver/conn.go
@@ -1,8 +1,10 @@
 package coapserver
 
 import (
+	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
@@ -21,6 +23,11 @@
 	netConn net.Conn
 	account *memorybudget.Account
 	work    *workbudget.Account
+	// heardAt is the time of the last bytes from the device, in nanoseconds since 1970.
+	heardAt atomic.Int64
+	// ctx ends when the connection is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// The fields of this block are used only by the goroutine that runs serve.
 	buf         []byte
@@ -55,8 +62,11 @@
 // newConn returns a connection. The caller must run serve on it.
 func newConn(s *Server, netConn net.Conn) *conn {
 	now := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{
 		server:             s,
+		ctx:                ctx,
+		cancel:             cancel,
 		netConn:            netConn,
 		account:            s.Memory.NewAccount(),
 		buf:                make([]byte, idleBufferSize),
@@ -68,9 +78,13 @@
 		idleTimeout:        s.MaxIdleTimeout,
 	}
 	c.queueShrunk.L = &c.mu
+	c.heardAt.Store(now.UnixNano())
 	return c
 }
 
+// lastHeard returns the time of the last bytes from the device. It acquires no lock.
+func (c *conn) lastHeard() time.Time { return time.Unix(0, c.heardAt.Load()) }
+
 // sendCSM sends the server's CSM, which must be the first message that the server sends (RFC 8323, 5.3).
 func (c *conn) sendCSM() {
 	c.send(message.Message{Code: codes.CSM, Options: message.Options{
@@ -109,12 +123,12 @@
 	}
 }
 
-// idleSince returns when the last byte arrived and whether the connection is idle: open, without pending requests or queued
-// messages.
+// idleSince returns when the last byte arrived and whether the connection is idle: open, without pending requests and without messages that
+// are queued or being written.
 func (c *conn) idleSince() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastReadAt, len(c.pending) == 0 && len(c.queue) == 0 && !c.closed
+	return c.lastReadAt, len(c.pending) == 0 && len(c.queue) == 0 && !c.writeLoopRunning && !c.closed
 }
 
 // close shuts down the sending direction; serve then ends the connection. Pending requests and requests with a queued response
@@ -126,11 +140,16 @@
 		return
 	}
 	c.closed = true
-	canceled := c.pending
+	c.cancel()
+	var canceled []*pendingRequest
+	for _, p := range c.pending {
+		canceled = append(canceled, p)
+	}
 	c.pending = map[string]*pendingRequest{}
 	for _, item := range c.queue {
-		if item.pending != nil {
-			canceled[string(item.pending.token)] = item.pending
+		if item.response != nil {
+			canceled = append(canceled, item.response.pending)
+			item.response.release()
 		}
 	}
 	c.queue = nil
--- a/internal/frontend/coapserver/device_test.go
+++ b/internal/frontend/coapserver/device_test.go
@@ -16,6 +16,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/coapwire"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/logevent"
 	"gaugerelay/internal/metrics"
@@ -75,12 +76,13 @@
 }
 
 func newTestServer(loop Loop) *Server {
-	settings := testsettings.Settings(4)
+	settings, counters := testsettings.Settings(4), metrics.New()
 	return &Server{
-		Loop:     loop,
-		Clock:    clock.NewSystem(),
-		Metrics:  metrics.New(),
-		Settings: &settings,
+		Loop:      loop,
+		Clock:     clock.NewSystem(),
+		Metrics:   counters,
+		Settings:  &settings,
+		Responses: responsebuffer.NewSet(nil, "gw", counters),
 		Options: Options{
 			MaxConns:            4,
 			MaxPendingRequests:  2,
--- a/internal/frontend/coapserver/memory.go
+++ b/internal/frontend/coapserver/memory.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// connBytes is the memory of a connection without an incomplete frame: buffers and stacks.
+	// connBytes is the memory of a connection without an incomplete frame and without bodies: buffers, stacks and queued messages.
 	connBytes = 12 << 10
 	// slowFrameTime is how long a frame may take to arrive before the connection may be closed because memory is short.
 	slowFrameTime = 250 * time.Millisecond
+	// memoryWait is how long a message waits for memory, and memoryPoll the time between two attempts.
+	memoryWait = 2500 * time.Millisecond
+	memoryPoll = 10 * time.Millisecond
 )
 
 var errNoMemory = errors.New("no memory for the message, connect again later")
@@ -57,9 +60,25 @@
 	return true
 }
 
+// reserve reserves memory, or waits for it, so that the device is slowed down. It returns false if there is none in time or the connection
+// is closed meanwhile.
+func (c *conn) reserve(bytes int) bool {
+	for waitUntil := time.Now().Add(memoryWait); !c.account.ReserveBulk(bytes); {
+		select {
+		case <-c.ctx.Done():
+			return false
+		case <-time.After(memoryPoll):
+		}
+		if time.Now().After(waitUntil) {
+			return false
+		}
+	}
+	return true
+}
+
 // setBuffer replaces the buffer by one of the given size, if there is memory for it.
 func (c *conn) setBuffer(size int) error {
-	if !c.account.ReserveBulk(size - len(c.buf)) {
+	if !c.reserve(size - len(c.buf)) {
 		c.server.Metrics.Add(connectionsWithoutMemory, 1)
 		return errNoMemory
 	}
--- a/internal/frontend/coapserver/parse.go
+++ b/internal/frontend/coapserver/parse.go
@@ -10,6 +10,7 @@
 
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/frontend/requestparse"
+	"gaugerelay/internal/scheduler"
 )
 
 const (
@@ -22,9 +23,10 @@
 // parsedRequest holds the values of a request's options.
 type parsedRequest struct {
 	fields          requestparse.Fields
-	device          string  // name of the device; "": not given
-	previousGateway string  // name of the gateway that received earlier transmissions; "": not given
-	ageMs           float64 // time since the device first sent the request; negative: not given
+	class           *scheduler.Class // class of the request; set by conn.newRequest
+	device          string           // name of the device; "": not given
+	previousGateway string           // name of the gateway that received earlier transmissions; "": not given
+	ageMs           float64          // time since the device first sent the request; negative: not given
 	query           string
 	etags           string // concatenated ETags of the responses that the device has
 	requestTag      string
--- a/internal/frontend/coapserver/read.go
+++ b/internal/frontend/coapserver/read.go
@@ -130,6 +130,7 @@
 	}
 	c.buffered += count
 	c.lastReadAt = now
+	c.heardAt.Store(now.UnixNano())
 }
 
 // handleFrames handles the complete frames in the buffer and keeps an incomplete one that follows them. If it returns an error,
--- a/internal/frontend/coapserver/request.go
+++ b/internal/frontend/coapserver/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"errors"
 	"net/http"
@@ -14,21 +15,26 @@
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/frontend"
 	"gaugerelay/internal/frontend/requestparse"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/httpmessage"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/scheduler"
 )
 
 const (
 	maxDeviceNameLength   = 64 // bytes
-	overLimitRetrySeconds = 1  // Max-Age of the response that rejects a request beyond MaxPendingRequests
+	overLimitRetrySeconds = 1  // Max-Age of the response to a request beyond MaxPendingRequests or without memory
 )
 
 // pendingRequest is a request that was received on a connection and has not been answered yet.
 type pendingRequest struct {
-	token     message.Token
-	parsed    *parsedRequest
-	request   *lifecycle.Request
-	stopTimer func() // stops the timer that calls expire
+	token        message.Token
+	parsed       *parsedRequest
+	isRepeatable bool    // whether the request may be executed any number of times
+	bodyBytes    int     // bytes that the connection's account has for the body
+	deadlineMs   float64 // time of Server.Clock until which the device waits for the response
+	request      *lifecycle.Request
+	stopTimer    func() // stops the timer that calls expire
 }
 
 // handleRequest parses a request and submits it to the Loop. It returns an error if the request is malformed.
@@ -44,9 +50,15 @@
 	if err := setBody(request.Device, parsed, m.Payload); err != nil {
 		return err
 	}
+	pending := &pendingRequest{token: m.Token, parsed: parsed, request: request, bodyBytes: len(request.Device.Body)}
+	pending.isRepeatable = parsed.class.Idempotency == scheduler.Idempotent && parsed.fields.Method == http.MethodGet
+	if !c.reserve(pending.bodyBytes) {
+		c.rejectForMemory(m)
+		return nil
+	}
 	c.setRemainingTime(request, now)
-	pending := &pendingRequest{token: m.Token, parsed: parsed, request: request}
 	if !c.addPending(pending) {
+		c.account.Release(pending.bodyBytes)
 		return nil
 	}
 	c.submit(pending)
@@ -66,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	parsed.class = class
 	payload := &httpmessage.Request{
 		Method:   parsed.fields.Method,
 		Path:     parsed.fields.Path,
@@ -135,6 +148,7 @@
 	c.pending[string(p.token)] = p
 	// The exchange store answers a retransmission at once even if its remaining time was over on arrival. The timer must
 	// not fire before that answer: the device would receive a failure for a write that an earlier transmission has completed.
+	p.deadlineMs = c.server.Clock.NowMs() + max(0, p.request.RemainingMs)
 	timeoutMs := max(0, p.request.RemainingMs) + frontend.ResponseGraceMs
 	p.stopTimer = c.server.Clock.AfterFunc(timeoutMs, func() { c.expire(p) })
 	return true
@@ -146,6 +160,7 @@
 		return false
 	}
 	delete(c.pending, string(p.token))
+	c.account.Release(p.bodyBytes)
 	return true
 }
 
@@ -166,6 +181,29 @@
 // respond queues the response to a request, unless the request is no longer pending. It does not block. It is called on the
 // goroutine of the Loop or of serve.
 func (c *conn) respond(p *pendingRequest, response lifecycle.Response) {
+	behindOthers, pending := c.applyAdvice(p, response)
+	if !pending {
+		return // expire or close has removed the request and calls Loop.Cancel for it
+	}
+	queued := &queuedResponse{pending: p, response: response}
+	if response.Kind == lifecycle.Served {
+		peer := responsebuffer.Peer{Account: c.account, LastHeard: c.lastHeard, HasUnwritten: behindOthers}
+		queued.body = c.server.Responses.Add(peer, response, c.fetchFunc(p)) // without c.mu, since it may drop the bodies of others
+		queued.response.Body = nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.removePending(p) { // expire or close has removed the request meanwhile
+		queued.release()
+		return
+	}
+	p.stopTimer()
+	c.enqueue(outgoingMessage{response: queued, closeAfter: response.Kind == lifecycle.Superseded})
+}
+
+// applyAdvice stores the advice of a response for the connection. It reports whether the request is still pending, and whether its response
+// has to wait for others.
+func (c *conn) applyAdvice(p *pendingRequest, response lifecycle.Response) (behindOthers, pending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response.IdleTimeoutMs > 0 {
@@ -175,11 +213,19 @@
 	if response.BlockSize > 0 {
 		c.preferredBlockSize = response.BlockSize
 	}
-	if c.closed || !c.removePending(p) {
-		return // expire or close has removed the request and calls Loop.Cancel for it
+	return c.writeLoopRunning, !c.closed && c.pending[string(p.token)] == p
+}
+
+// fetchFunc returns a function that executes a request again whose response was dropped. It returns nil if the request must not be executed
+// again.
+func (c *conn) fetchFunc(p *pendingRequest) responsebuffer.FetchFunc {
+	if !p.isRepeatable {
+		return nil
+	}
+	fetcher := responsebuffer.Fetcher{Set: c.server.Responses, Loop: c.server.Loop, Clock: c.server.Clock}
+	return func(ctx context.Context) (lifecycle.Response, error) {
+		return fetcher.Fetch(ctx, p.request, p.deadlineMs)
 	}
-	p.stopTimer()
-	c.enqueue(outgoingMessage{pending: p, response: response, closeAfter: response.Kind == lifecycle.Superseded})
 }
 
 // expire is the response guard: it responds to a request that the Loop has not responded to in time. The Loop must respond before
@@ -199,12 +245,23 @@
 // rejectOverLimit responds to a request beyond MaxPendingRequests.
 func (c *conn) rejectOverLimit(m *message.Message) {
 	c.server.Metrics.Add(requestsOverLimit, 1)
-	if m.Code == codes.PUT && m.Options.HasOption(coapwire.OptRetry) { // an earlier transmission may have been executed
+	c.rejectUnread(m, codes.TooManyRequests, "too many requests are open")
+}
+
+// rejectForMemory responds to a request for whose body there is no memory.
+func (c *conn) rejectForMemory(m *message.Message) {
+	c.server.Metrics.Add(requestsWithoutMemory, 1)
+	c.rejectUnread(m, codes.ServiceUnavailable, "busy, nothing was done")
+}
+
+// rejectUnread responds to a request that is not submitted with the given code, or states that an earlier transmission may have been
+// executed.
+func (c *conn) rejectUnread(m *message.Message, code codes.Code, text string) {
+	if m.Code == codes.PUT && m.Options.HasOption(coapwire.OptRetry) {
 		c.sendText(m.Token, codes.BadGateway, textFailed)
 		return
 	}
-	c.sendText(m.Token, codes.TooManyRequests, "too many requests are open",
-		coapwire.UintOption(message.MaxAge, overLimitRetrySeconds))
+	c.sendText(m.Token, code, text, coapwire.UintOption(message.MaxAge, overLimitRetrySeconds))
 }
 
 // rejectMalformed responds to a malformed request with the code of the requestError, or with 4.00 for other errors.
--- a/internal/frontend/coapserver/response.go
+++ b/internal/frontend/coapserver/response.go
@@ -22,30 +22,27 @@
 	return message.Message{Token: token, Code: code, Payload: []byte(text), Options: options}
 }
 
-// composeResponse returns the message for a response. complete reports whether the response is a served one and m is its last
-// message: m holds all or the last block of the body, or states that the device has the body or cannot receive it.
-func (c *conn) composeResponse(p *pendingRequest, response lifecycle.Response) (m message.Message, complete bool) {
+// composeOther returns the message for a response that is not a served one.
+func (c *conn) composeOther(p *pendingRequest, response lifecycle.Response) message.Message {
 	switch response.Kind {
-	case lifecycle.Served:
-		return c.composeServed(p, response)
 	case lifecycle.Rejected:
 		return textMessage(p.token, codes.ServiceUnavailable, "busy, nothing was done",
-			coapwire.UintOption(message.MaxAge, maxAgeSeconds(response.RetryAfterMs))), false
+			coapwire.UintOption(message.MaxAge, maxAgeSeconds(response.RetryAfterMs)))
 	case lifecycle.Conflict:
 		return textMessage(p.token, codes.Conflict,
-			"another content than that of the exchange it names; nothing of it was done"), false
+			"another content than that of the exchange it names; nothing of it was done")
 	case lifecycle.Continue:
-		return c.composeContinue(p), false
+		return c.composeContinue(p)
 	case lifecycle.Incomplete:
 		return textMessage(p.token, codes.RequestEntityIncomplete, "a block does not fit on",
-			coapwire.UintOption(coapwire.OptBufferedBytes, uint32(response.BufferedBytes))), false
+			coapwire.UintOption(coapwire.OptBufferedBytes, uint32(response.BufferedBytes)))
 	case lifecycle.TooLarge:
 		return textMessage(p.token, codes.RequestEntityTooLarge, "too large",
-			coapwire.UintOption(message.Size1, httpmessage.MaxBodyBytes)), false
+			coapwire.UintOption(message.Size1, httpmessage.MaxBodyBytes))
 	case lifecycle.Superseded:
-		return textMessage(nil, codes.Abort, "newer connections wait for the answer"), false
+		return textMessage(nil, codes.Abort, "newer connections wait for the answer")
 	default:
-		return textMessage(p.token, codes.BadGateway, textFailed), false
+		return textMessage(p.token, codes.BadGateway, textFailed)
 	}
 }
 
@@ -62,47 +59,55 @@
 	}
 }
 
-// composeServed returns the message for a served response: the whole body, the requested or first block of it, 2.03 (Valid) if the
-// device already has the body, or 5.00 if the body is too large for a device that does not support blocks.
-func (c *conn) composeServed(p *pendingRequest, response lifecycle.Response) (m message.Message, complete bool) {
-	body := response.Body.([]byte)
-	limits := c.peerLimits()
-	etag := message.Option{ID: message.ETag, Value: binary.BigEndian.AppendUint64(nil, response.ETag)}
-	m = message.Message{Token: p.token, Code: codes.Content, Options: message.Options{etag}}
+// servedMessage is the message for a served response.
+type servedMessage struct {
+	// head is the message. Its payload is a text, or empty if the payload is a part of the body.
+	head message.Message
+	// start and end are the positions of the payload in the body of the response.
+	start, end int
+	// complete reports whether this is the last message for the response: the payload is all or the last block of the body, or the
+	// message states that the device has the body or cannot receive it.
+	complete bool
+}
+
+// composeServed returns the message for a served response whose body has the given size and entity tag: the whole body, the requested or
+// first block of it, 2.03 (Valid) if the device already has the body, or 5.00 if the body is too large for a device that does not support
+// blocks.
+func composeServed(p *pendingRequest, size int, etag uint64, limits peerLimits) servedMessage {
+	option := message.Option{ID: message.ETag, Value: binary.BigEndian.AppendUint64(nil, etag)}
+	m := message.Message{Token: p.token, Code: codes.Content, Options: message.Options{option}}
 	if p.parsed.fields.Method == http.MethodPut {
 		m.Code = codes.Changed
 	}
 	if p.parsed.block2 != nil {
-		return composeBlock(p, m, body, limits, *p.parsed.block2)
+		return composeBlock(p, m, size, limits, *p.parsed.block2)
 	}
-	if m.Code == codes.Content && strings.Contains(p.parsed.etags, string(etag.Value)) {
+	if m.Code == codes.Content && strings.Contains(p.parsed.etags, string(option.Value)) {
 		m.Code = codes.Valid
-		return m, true
+		return servedMessage{head: m, complete: true}
 	}
-	if limits.fitsInOneMessage(len(body)) {
-		m.Options, m.Payload = appendBlock1(m.Options, p), body
-		return m, true
+	if limits.fitsInOneMessage(size) {
+		m.Options = appendBlock1(m.Options, p)
+		return servedMessage{head: m, end: size, complete: true}
 	}
 	if !limits.blockwise {
-		return textMessage(p.token, codes.InternalServerError, "the answer is larger than your Max-Message-Size"), true
+		return servedMessage{head: textMessage(p.token, codes.InternalServerError, "the answer is larger than your Max-Message-Size"),
+			complete: true}
 	}
-	return composeBlock(p, m, body, limits, coapwire.Block{Size: coapwire.BERTBlockSize, BERT: limits.bert})
+	return composeBlock(p, m, size, limits, coapwire.Block{Size: coapwire.BERTBlockSize, BERT: limits.bert})
 }
 
-// composeBlock adds the requested block of the body to m, which already has the code and the ETag of the served response.
-// complete reports whether the block is the last one.
-func composeBlock(p *pendingRequest, m message.Message, body []byte, limits peerLimits,
-	requested coapwire.Block) (_ message.Message, complete bool) {
+// composeBlock adds the requested block of a body of the given size to m, which already has the code and the ETag of the served response.
+func composeBlock(p *pendingRequest, m message.Message, size int, limits peerLimits, requested coapwire.Block) servedMessage {
 	block, length := limits.responseBlock(requested)
-	if block.Offset > 0 && block.Offset >= len(body) {
-		return textMessage(p.token, codes.BadOption, "a block behind the end"), false
+	if block.Offset > 0 && block.Offset >= size {
+		return servedMessage{head: textMessage(p.token, codes.BadOption, "a block behind the end")}
 	}
-	end := min(block.Offset+length, len(body))
-	block.More = end < len(body)
+	end := min(block.Offset+length, size)
+	block.More = end < size
 	m.Options = appendBlock1(append(m.Options, block.Option(message.Block2)), p)
-	m.Options = append(m.Options, coapwire.UintOption(message.Size2, uint32(len(body))))
-	m.Payload = body[block.Offset:end]
-	return m, !block.More
+	m.Options = append(m.Options, coapwire.UintOption(message.Size2, uint32(size)))
+	return servedMessage{head: m, start: block.Offset, end: end, complete: !block.More}
 }
 
 // appendBlock1 appends the Block1 option of the request, which the response to a block of an upload must repeat.
--- a/internal/frontend/coapserver/server.go
+++ b/internal/frontend/coapserver/server.go
@@ -10,6 +10,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
@@ -31,6 +32,7 @@
 	connectionsWithoutMemory = "device_connections_without_memory"
 	messagesTruncated        = "device_messages_truncated"
 	requestsOverLimit        = "device_requests_over_limit"
+	requestsWithoutMemory    = "device_requests_without_memory"
 )
 
 // Options are the limits and timeouts of a Server. All must be set, and none may change while it serves.
@@ -95,6 +97,8 @@
 	Settings *scheduler.Settings
 	// Memory bounds the memory of connections together with that of other users. nil means that there is no bound.
 	Memory *memorybudget.Budget
+	// Responses holds the bodies of responses until devices have read them.
+	Responses *responsebuffer.Set
 	// Work bounds the work of connections together with that of other frontends. nil means that there is no bound.
 	Work *workbudget.Budget
 
--- a/internal/frontend/coapserver/write.go
+++ b/internal/frontend/coapserver/write.go
@@ -9,6 +9,7 @@
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
 	"gaugerelay/internal/coapwire"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 )
 
@@ -20,10 +21,23 @@
 // outgoingMessage is a queued message: either an encoded one or the response to a request. A response is encoded only when it
 // is written, since its form depends on what the device can receive at that time.
 type outgoingMessage struct {
-	encoded    []byte             // encoded message; used only if pending is nil
-	pending    *pendingRequest    // request that the field response answers; nil if the field encoded holds the message
-	response   lifecycle.Response // response to the pending request
-	closeAfter bool               // whether the connection is closed after this message is written
+	encoded    []byte          // encoded message; used only if response is nil
+	response   *queuedResponse // nil if the field encoded holds the message
+	closeAfter bool            // whether the connection is closed after this message is written
+}
+
+// queuedResponse is the response to a request that waits to be written.
+type queuedResponse struct {
+	pending  *pendingRequest
+	response lifecycle.Response     // its body is in the field body
+	body     *responsebuffer.Buffer // body of a served response; nil for another one
+}
+
+// release ends the use of the response's body.
+func (r *queuedResponse) release() {
+	if r.body != nil {
+		r.body.Release()
+	}
 }
 
 // send queues a message.
@@ -97,24 +111,69 @@
 	}
 }
 
-// write writes one message. For a served response it reports to the Loop whether all of it has been written.
+// write writes one message.
 func (c *conn) write(item outgoingMessage, idleTimeout time.Duration) error {
-	if item.pending == nil {
+	if item.response == nil {
 		return c.writeBytes(item.encoded, idleTimeout)
 	}
-	composed, complete := c.composeResponse(item.pending, item.response)
-	err := c.writeBytes(coapwire.Encode(composed), idleTimeout)
-	if item.response.Kind != lifecycle.Served {
-		return err
+	defer item.response.release()
+	if item.response.body == nil {
+		return c.writeBytes(coapwire.Encode(c.composeOther(item.response.pending, item.response.response)), idleTimeout)
 	}
+	return c.writeServed(item.response, idleTimeout)
+}
+
+// writeServed writes a served response, and reports to the Loop whether all of it has been written.
+func (c *conn) writeServed(r *queuedResponse, idleTimeout time.Duration) error {
+	complete, err := c.writeBody(r, idleTimeout)
 	if err == nil && complete {
-		c.server.Loop.ResponseWritten(item.pending.request, lifecycle.LinkSample{})
+		c.server.Loop.ResponseWritten(r.pending.request, lifecycle.LinkSample{})
 	} else {
-		c.server.Loop.Cancel(item.pending.request) // the response stays cached, so that the device can request the rest
+		c.server.Loop.Cancel(r.pending.request) // the response stays cached, so that the device can request the rest
 	}
 	return err
 }
 
+// writeBody writes the message for a served response, or the one for the response that its request gets now if the served one was
+// dropped.
+func (c *conn) writeBody(r *queuedResponse, idleTimeout time.Duration) (complete bool, err error) {
+	var notServed *responsebuffer.NotServedError
+	err = r.body.Await(c.ctx)
+	switch {
+	case errors.As(err, &notServed):
+		return false, c.writeBytes(coapwire.Encode(c.composeOther(r.pending, notServed.Response)), idleTimeout)
+	case errors.Is(err, responsebuffer.ErrNoResponse):
+		timeout := textMessage(r.pending.token, codes.GatewayTimeout, "no answer in time")
+		return false, c.writeBytes(coapwire.Encode(timeout), idleTimeout)
+	case err != nil:
+		return false, err
+	}
+	served := composeServed(r.pending, r.body.Size(), r.body.ETag(), c.peerLimits())
+	if served.end == served.start {
+		return served.complete, c.writeBytes(coapwire.Encode(served.head), idleTimeout)
+	}
+	return served.complete, c.writePayload(r.body, served, idleTimeout)
+}
+
+// writePayload writes a message whose payload is a part of a body. It holds no more than one chunk of it, so that the body can be dropped.
+func (c *conn) writePayload(body *responsebuffer.Buffer, served servedMessage, idleTimeout time.Duration) error {
+	head := coapwire.EncodeHead(served.head, served.end-served.start)
+	chunk := make([]byte, len(head)+min(writeChunkSize, served.end-served.start))
+	filled := copy(chunk, head)
+	for offset := served.start; offset < served.end; {
+		n, err := body.ReadAt(c.ctx, chunk[filled:min(len(chunk), filled+served.end-offset)], offset)
+		if err != nil {
+			return err
+		}
+		if err := c.writeBytes(chunk[:filled+n], idleTimeout); err != nil {
+			return err
+		}
+		offset += n
+		filled = 0
+	}
+	return nil
+}
+
 // writeBytes writes the bytes in chunks, each with its own deadline. A slow link thus gets enough time, while a lost connection
 // is detected soon.
 func (c *conn) writeBytes(remaining []byte, idleTimeout time.Duration) error {
--- a/internal/frontend/httpserver/device.go
+++ b/internal/frontend/httpserver/device.go
@@ -1,11 +1,11 @@
 package httpserver
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -15,7 +15,10 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend/requestparse"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
+	"gaugerelay/internal/scheduler"
 )
 
 // This file implements the parts of the frontend that are specific to devices on poor links. The headers of their protocol are:
@@ -93,28 +96,98 @@
 }
 
 // writeDeviceResponse writes the response to a device, or only the byte range that the device asks for, and reports to the event
-// loop whether the response was written completely.
-func (h *Handler) writeDeviceResponse(w http.ResponseWriter, r *http.Request, request *lifecycle.Request, response lifecycle.Response) {
-	body := response.Body.([]byte)
+// loop whether the response was written completely. If the response was dropped because memory is short, and the request now gets another
+// one, that is written.
+func (h *Handler) writeDeviceResponse(w http.ResponseWriter, r *http.Request, pending *pendingRequest, response lifecycle.Response) {
+	request, held := pending.Request, h.holdResponse(r, pending, response)
+	defer held.release()
+	var notServed *responsebuffer.NotServedError
+	switch err := held.body.Await(r.Context()); {
+	case errors.As(err, &notServed):
+		h.Loop.Cancel(request)
+		h.writeResponse(w, r, pending, notServed.Response)
+		return
+	case errors.Is(err, responsebuffer.ErrNoResponse):
+		h.Loop.Cancel(request)
+		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
+		return
+	case err != nil: // the device has disconnected
+		h.Loop.Cancel(request)
+		panic(http.ErrAbortHandler)
+	}
 	startMs := h.Clock.NowMs()
+	size := held.body.Size()
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("ETag", fmt.Sprintf(`"%016x"`, response.ETag))
+	w.Header().Set("ETag", fmt.Sprintf(`"%016x"`, held.body.ETag()))
 	out := &countingWriter{ResponseWriter: w}
 	// The deadline is the time to transfer the body on the slowest supported link, plus IdleTimeoutMs for a stall of the link.
 	control := http.NewResponseController(w)
 	if response.IdleTimeoutMs > 0 {
-		deadline := time.Now().Add(clock.Duration(response.IdleTimeoutMs) + minTransferTime(len(body)))
+		deadline := time.Now().Add(clock.Duration(response.IdleTimeoutMs) + minTransferTime(size))
 		_ = control.SetWriteDeadline(deadline) // the error is ignored: without a deadline, a stalled write only takes longer
 	}
+	body := io.NewSectionReader(held, 0, int64(size))
 	if r.Method == http.MethodGet {
-		http.ServeContent(out, r, "", time.Time{}, bytes.NewReader(body))
+		http.ServeContent(out, r, "", time.Time{}, body)
 	} else {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		_, _ = out.Write(body) // the error is in out.err
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = out.ReadFrom(body) // the error is in out.err
 	}
-	if err := control.Flush(); out.err != nil || err != nil {
-		h.Loop.Cancel(request) // the response stays cached for the next transmission
+	h.endDeviceResponse(request, held, out, control.Flush(), startMs)
+}
+
+// endDeviceResponse reports to the event loop whether a response was written completely. It ends the connection if the rest of a response
+// that was dropped could not be obtained again.
+func (h *Handler) endDeviceResponse(request *lifecycle.Request, held *heldResponse, out *countingWriter, flushErr error, startMs float64) {
+	if out.err == nil && flushErr == nil && held.readErr == nil {
+		h.Loop.ResponseWritten(request, lifecycle.LinkSample{Bytes: out.bytes, TransferMs: h.Clock.NowMs() - startMs})
 		return
 	}
-	h.Loop.ResponseWritten(request, lifecycle.LinkSample{Bytes: out.bytes, TransferMs: h.Clock.NowMs() - startMs})
+	h.Loop.Cancel(request) // the response stays cached for the next transmission
+	if held.readErr != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// heldResponse is the response to a device while it is being written. It implements io.ReaderAt.
+type heldResponse struct {
+	ctx     context.Context // context of the HTTP request
+	account *memorybudget.Account
+	body    *responsebuffer.Buffer
+	readErr error // error of the last ReadAt
+}
+
+// holdResponse takes over a served response until it has been written.
+func (h *Handler) holdResponse(r *http.Request, pending *pendingRequest, response lifecycle.Response) *heldResponse {
+	held := &heldResponse{ctx: r.Context()}
+	if conn := clientConnOf(r.Context()); conn != nil {
+		held.account = conn.tracker.Budget.NewAccount()
+	}
+	var fetch responsebuffer.FetchFunc
+	class := requestparse.FindClass(h.Settings, pending.Class)
+	if r.Method == http.MethodGet && class != nil && class.Idempotency == scheduler.Idempotent {
+		fetcher := responsebuffer.Fetcher{Set: h.Responses, Loop: h.Loop, Clock: h.Clock}
+		fetch = func(ctx context.Context) (lifecycle.Response, error) {
+			return fetcher.Fetch(ctx, pending.Request, pending.deadlineMs)
+		}
+	}
+	peer := responsebuffer.Peer{Account: held.account, LastHeard: func() time.Time { return pending.submittedAt }}
+	held.body = h.Responses.Add(peer, response, fetch)
+	return held
+}
+
+// ReadAt implements io.ReaderAt.
+func (r *heldResponse) ReadAt(p []byte, offset int64) (int, error) {
+	n, err := r.body.ReadAt(r.ctx, p, int(offset))
+	r.readErr = err
+	if err == nil && n < len(p) {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// release ends the use of the response's memory.
+func (r *heldResponse) release() {
+	r.body.Release()
+	r.account.Close()
 }
--- a/internal/frontend/httpserver/handler.go
+++ b/internal/frontend/httpserver/handler.go
@@ -23,6 +23,7 @@
 
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/scheduler"
@@ -61,6 +62,8 @@
 	ServesDevices bool
 	// FleetStatus serves this gateway's view of its fleet. It is nil if the gateway is not part of a fleet.
 	FleetStatus http.HandlerFunc
+	// Responses holds the bodies of responses to devices until they have read them. It is not used if ServesDevices is not set.
+	Responses *responsebuffer.Set
 	// GatewayName identifies this gateway to devices. It changes with each start.
 	GatewayName string
 	// Conns counts the open and the busy connections. If it is not nil, the handler rejects some requests during a shutdown, once no
@@ -215,22 +218,31 @@
 	}
 }
 
+// pendingRequest is a submitted request.
+type pendingRequest struct {
+	*lifecycle.Request
+	submittedAt time.Time // when the request had been read
+	deadlineMs  float64   // time of Handler.Clock in milliseconds until which the client waits for the response
+}
+
 // awaitResponse writes the response to a submitted request, unless its client disconnects first.
 func (h *Handler) awaitResponse(w http.ResponseWriter, r *http.Request, request *lifecycle.Request, responses <-chan lifecycle.Response) {
 	// The event loop responds at once to a request that has no time left. The grace time is added to 0 rather than to a negative
 	// remaining time, so that the response guard does not preempt that response.
-	guardExpired, stop := clock.After(h.Clock, max(0, request.RemainingMs)+frontend.ResponseGraceMs)
+	remainingMs := max(0, request.RemainingMs)
+	pending := &pendingRequest{Request: request, submittedAt: time.Now(), deadlineMs: h.Clock.NowMs() + remainingMs}
+	guardExpired, stop := clock.After(h.Clock, remainingMs+frontend.ResponseGraceMs)
 	defer stop()
 	select {
 	case response := <-responses:
-		h.writeResponse(w, r, request, response)
+		h.writeResponse(w, r, pending, response)
 	case <-r.Context().Done():
 		h.Loop.Cancel(request)
 		panic(http.ErrAbortHandler) // returning would write an empty 200 response, which no server has sent
 	case <-guardExpired:
 		select {
 		case response := <-responses: // the response arrived when the guard expired
-			h.writeResponse(w, r, request, response)
+			h.writeResponse(w, r, pending, response)
 			return
 		default:
 		}
--- a/internal/frontend/httpserver/handler_test.go
+++ b/internal/frontend/httpserver/handler_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"gaugerelay/internal/clock"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/httpmessage"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/metrics"
@@ -51,7 +52,9 @@
 func newTestHandler(onSubmit func(*lifecycle.Request)) *testHandler {
 	settings := testbed.Settings(4)
 	h := &testHandler{loop: &fakeLoop{onSubmit: onSubmit}, manualClock: clock.NewManual(1e12)}
-	h.Handler = &Handler{Loop: h.loop, Clock: h.manualClock, Metrics: metrics.New(), Settings: &settings}
+	counters := metrics.New()
+	h.Handler = &Handler{Loop: h.loop, Clock: h.manualClock, Metrics: counters, Settings: &settings,
+		Responses: responsebuffer.NewSet(nil, "gw", counters)}
 	return h
 }
 
--- a/internal/frontend/httpserver/link.go
+++ b/internal/frontend/httpserver/link.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -72,3 +73,28 @@
 	}
 	return n, err
 }
+
+// copyBufferBytes is the size of the buffer through which a response is written, so that the rest of its body can be dropped while memory
+// is short.
+const copyBufferBytes = 4 << 10
+
+// ReadFrom implements io.ReaderFrom, which io.Copy uses.
+func (c *countingWriter) ReadFrom(source io.Reader) (total int64, err error) {
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, readErr := source.Read(buffer)
+		if n > 0 {
+			written, writeErr := c.Write(buffer[:n])
+			total += int64(written)
+			if writeErr != nil {
+				return total, writeErr
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return total, nil
+		}
+		if readErr != nil {
+			return total, readErr
+		}
+	}
+}
--- a/internal/frontend/httpserver/response.go
+++ b/internal/frontend/httpserver/response.go
@@ -13,14 +13,14 @@
 
 // writeResponse writes the final response to a request. If a transmission on a newer connection of the device has superseded
 // the request, it panics with http.ErrAbortHandler.
-func (h *Handler) writeResponse(w http.ResponseWriter, r *http.Request, request *lifecycle.Request, response lifecycle.Response) {
+func (h *Handler) writeResponse(w http.ResponseWriter, r *http.Request, pending *pendingRequest, response lifecycle.Response) {
 	if h.keepAlivesDisabled.Load() { // keep-alives may have been disabled since ServeHTTP checked
 		w.Header().Set("Connection", "close")
 	}
 	switch response.Kind {
 	case lifecycle.Served:
 		if h.ServesDevices {
-			h.writeDeviceResponse(w, r, request, response)
+			h.writeDeviceResponse(w, r, pending, response)
 			return
 		}
 		h.writeBody(w, r, response.Body.([]byte))
--- a/internal/frontend/httpserver/testserver_test.go
+++ b/internal/frontend/httpserver/testserver_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"gaugerelay/internal/clock"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/metrics"
 	"gaugerelay/internal/testbed"
@@ -47,7 +48,7 @@
 		addr:        ln.Addr().String(),
 	}
 	s.tracker = &ConnTracker{SheddingThreshold: 9, Clock: s.clock, Metrics: counters}
-	s.handler = &Handler{Loop: s.pendingLoop, Clock: s.clock, Metrics: counters, Settings: &settings}
+	s.handler = &Handler{Loop: s.pendingLoop, Clock: s.clock, Metrics: counters, Settings: &settings, Responses: responsebuffer.NewSet(nil, "gw", counters)}
 	s.server = &http.Server{Handler: s.handler, ConnState: s.tracker.ConnState, ConnContext: s.tracker.ConnContext}
 	if change != nil {
 		ln = change(s, ln)
--- a/internal/frontend/requestparse/request.go
+++ b/internal/frontend/requestparse/request.go
@@ -39,7 +39,7 @@
 // Parse validates the fields of a request and returns the request and its class. The caller sets the request's Upstream and
 // Payload.
 func Parse(settings *scheduler.Settings, fields Fields) (*lifecycle.Request, *scheduler.Class, error) {
-	class := findClass(settings, fields.Class)
+	class := FindClass(settings, fields.Class)
 	path := strings.Split(strings.TrimPrefix(fields.Path, "/"), "/")
 	if class == nil || len(path) < 2 || path[0] != class.Name {
 		return nil, nil, errors.New("unknown class, or not the path's first part")
@@ -99,8 +99,8 @@
 	return text != "" && len(text) <= maxIdentifierLength && !strings.ContainsFunc(text, isInvisible)
 }
 
-// findClass returns the class with the given name, or nil if there is none.
-func findClass(settings *scheduler.Settings, name string) *scheduler.Class {
+// FindClass returns the class with the given name, or nil if there is none.
+func FindClass(settings *scheduler.Settings, name string) *scheduler.Class {
 	for i := range settings.Classes {
 		if settings.Classes[i].Name == name {
 			return &settings.Classes[i]
--- a/internal/gateway/build.go
+++ b/internal/gateway/build.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"fmt"
+
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/config"
 	"gaugerelay/internal/discovery"
 	"gaugerelay/internal/endpointlease"
 	"gaugerelay/internal/eventloop"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/metrics"
@@ -26,9 +29,11 @@
 
 // New builds a gateway. Before Start only its pause detector runs. The caller must not change the configuration afterwards.
 func New(cfg *config.Config, edge *config.Edge, gatewayClock clock.Clock, network Network) (*Gateway, error) {
-	g := &Gateway{Clock: gatewayClock, Metrics: metrics.New(), cfg: cfg, network: network,
+	g := &Gateway{Clock: gatewayClock, startedMs: gatewayClock.NowMs(), Metrics: metrics.New(), cfg: cfg, network: network,
 		failures: make(chan error, maxPendingFailures), pauseDetector: clock.StartPauseDetector(gatewayClock)}
-	g.clientMemory = memorybudget.New(clientMemoryLimit(cfg), g.Metrics)
+	g.clientMemory = memorybudget.New(clientMemoryWithStore(cfg, edge.Devices), g.Metrics)
+	g.storeMemory = g.clientMemory.NewAccount()
+	g.responses = responsebuffer.NewSet(g.clientMemory, g.uniqueName(), g.Metrics)
 	g.clientWork = workbudget.New(clientCores(cfg), gatewayClock, g.Metrics)
 	var fleet *fleetMember
 	if edge.Fleet != nil {
@@ -62,6 +67,11 @@
 	return g, nil
 }
 
+// uniqueName returns a name that differs from those of other gateways, and from those that this gateway had at earlier starts.
+func (g *Gateway) uniqueName() string {
+	return fmt.Sprintf("%s-%x-%x", g.cfg.Name, g.cfg.Seed, int64(g.startedMs))
+}
+
 // newScheduler returns the scheduler. In a fleet, it starts with a share of the quota that no other gateway is ever granted.
 func newScheduler(cfg *config.Config, fleet *fleetMember) (*scheduler.Scheduler, error) {
 	settings := cfg.Settings
--- a/internal/gateway/devicefrontend.go
+++ b/internal/gateway/devicefrontend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,16 +36,17 @@
 func newDeduplicator(g *Gateway, options *config.Devices) (deduplicator *dedup.Coordinator, gatewayName string, err error) {
 	// The name is the prefix of the ids by which servers identify executions of requests. It must therefore differ from the names
 	// of other gateways, and from the names that this gateway had at earlier starts.
-	name := fmt.Sprintf("%s-%x-%x", g.cfg.Name, g.cfg.Seed, int64(g.Clock.NowMs()))
+	name := g.uniqueName()
 	gatewayName = strconv.FormatUint(xxhash.Sum64String(name), 16)
 	deduplicator, err = dedup.New(dedup.Options{Settings: exchangeSettings(g.cfg, options), Classes: g.cfg.Settings.Classes,
-		ExecutionIDPrefix: name, GatewayName: gatewayName, Metrics: g.Metrics, NowMs: g.Clock.NowMs,
+		ExecutionIDPrefix: name, GatewayName: gatewayName, Metrics: g.Metrics, NowMs: g.Clock.NowMs, Memory: g.storeMemory,
 		AfterFunc: func(ms float64, f func(nowMs float64)) (stop func()) { return g.loop.AfterFunc(ms, f) },
 		Submit:    func(nowMs float64, request *lifecycle.Request) { g.loop.SubmitOnLoop(nowMs, request) }})
 	return deduplicator, gatewayName, err
 }
 
-// storedBytesFraction is the fraction of the memory for clients that stored bodies and responses of devices may take.
+// storedBytesFraction is the memory that stored bodies and responses of devices may take, as a fraction of the memory for clients. It is
+// added to that memory.
 const storedBytesFraction = 0.25
 
 // exchangeSettings returns the settings of the exchange store. It stores fewer bytes than the operator's file allows if the platform's
@@ -59,13 +59,23 @@
 	return settings
 }
 
+// clientMemoryWithStore returns the memory in bytes that data of clients and devices may take, including what is stored of devices'
+// exchanges, or 0 for no limit. devices is nil if the gateway serves none.
+func clientMemoryWithStore(cfg *config.Config, devices *config.Devices) int64 {
+	limit := clientMemoryLimit(cfg)
+	if limit > 0 && devices != nil {
+		limit += int64(exchangeSettings(cfg, devices).MaxStoredBytes)
+	}
+	return limit
+}
+
 // newDeviceFrontend builds the servers that the options enable. It opens no listener.
 func newDeviceFrontend(g *Gateway, options *config.Devices, gatewayName string) *deviceFrontend {
 	f := &deviceFrontend{gateway: g, options: options}
 	if options.CoAP != "" {
 		link := options.Exchanges.Link
 		f.coap = &coapserver.Server{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory, Work: g.clientWork,
-			Settings: &g.cfg.Settings, Options: coapserver.Options{
+			Responses: g.responses, Settings: &g.cfg.Settings, Options: coapserver.Options{
 				GatewayName:         gatewayName,
 				MaxConns:            options.MaxConns,
 				MaxPendingRequests:  options.MaxOpenRequests,
@@ -80,7 +90,7 @@
 	}
 	if options.HTTP != "" {
 		f.http = &httpserver.Handler{Loop: g.loop, Upstream: g.upstream, Clock: g.Clock, Metrics: g.Metrics,
-			Settings: &g.cfg.Settings, ServesDevices: true, GatewayName: gatewayName}
+			Responses: g.responses, Settings: &g.cfg.Settings, ServesDevices: true, GatewayName: gatewayName}
 		f.conns = &httpserver.ConnTracker{SheddingThreshold: sheddingThreshold(options.MaxConns), Clock: g.Clock, Metrics: g.Metrics,
 			Budget: g.clientMemory, Work: g.clientWork}
 		g.clientMemory.AddEvictor(f.conns)
@@ -198,9 +208,10 @@
 	}
 }
 
-// close closes the listeners and all connections.
+// close closes the listeners and all connections, and ends the count of what is stored.
 func (f *deviceFrontend) close() {
 	f.closeListeners()
+	f.gateway.storeMemory.Close()
 	if f.coap != nil {
 		f.coap.Close()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"gaugerelay/internal/config"
 	"gaugerelay/internal/discovery"
 	"gaugerelay/internal/eventloop"
+	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
 	"gaugerelay/internal/logevent"
 	"gaugerelay/internal/memorybudget"
@@ -46,6 +47,7 @@
 	Clock   clock.Clock
 	Metrics *metrics.Registry
 
+	startedMs     float64        // time of Clock at which the gateway was built
 	cfg           *config.Config // replaced by Reload
 	network       Network
 	loop          *eventloop.Loop
@@ -55,6 +57,8 @@
 	memory        *memoryMonitor    // nil until Start
 	processor     *processorMonitor // nil until Start
 	clientMemory  *memorybudget.Budget
+	storeMemory   *memorybudget.Account // part of clientMemory that the store of devices' exchanges takes
+	responses     *responsebuffer.Set   // bodies of responses that devices have not read
 	clientWork    *workbudget.Budget
 	components    []component // in start order
 	failures      chan error  // errors of components that have ended unexpectedly
--- a/internal/lifecycle/request.go
+++ b/internal/lifecycle/request.go
@@ -61,3 +61,11 @@
 func (r *Request) Canceled() bool {
 	return r.canceled.Load() || r.ClientDisconnected != nil && r.ClientDisconnected()
 }
+
+// WithoutExchange returns a request of no device that reads what r, a read of a device, reads. It has the given id and remaining time, has
+// not been submitted, and has no Respond.
+func (r *Request) WithoutExchange(id string, remainingMs float64) *Request {
+	return &Request{ClientID: id, Class: r.Class, Plan: r.Plan, Volume: r.Volume, Key: r.Key, RemainingMs: remainingMs, Units: r.Units,
+		Shard: r.Shard, Gateways: r.Gateways, IsRetry: r.IsRetry, IsFirstAttempt: true, Upstream: r.Upstream,
+		Payload: r.Device.BuildPayload(id, nil)}
+}
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -2,8 +2,8 @@
 // in flight, responses that clients have not read yet.
 //
 // A Budget is shared by all frontends and upstreams of a gateway. Each connection has an Account, whose bytes count against the budget.
-// While the budget is nearly used up, the connections that make the least progress are ended, so that others have room. Bytes beyond
-// the limit are refused.
+// Before bytes are refused, data that can be obtained again is dropped. While the budget is nearly used up, the connections that make the
+// least progress are ended, so that others have room. Bytes beyond the limit are refused.
 //
 // Sizes are in bytes and times in milliseconds. The package runs no goroutine. Its methods may be called from any goroutine, but not with
 // a lock that an Evictor acquires.
@@ -50,6 +50,12 @@
 	Slowest() (slowest Candidate, ok bool)
 }
 
+// Dropper is a set of data that can be obtained again, such as responses that their clients do not read at present.
+type Dropper interface {
+	// Drop releases some of the data from its account before it returns. It returns false if there is none that may be dropped now.
+	Drop() bool
+}
+
 // Budget is an amount of memory that connections share. Create one with New.
 type Budget struct {
 	limit   int64
@@ -59,6 +65,7 @@
 	used     int64
 	ending   int64 // bytes of accounts whose connections are being ended
 	evictors []Evictor
+	droppers []Dropper
 }
 
 // New returns a budget of the given number of bytes. 0 means that there is no limit.
@@ -72,6 +79,23 @@
 // AddEvictor adds a set of connections that may be ended. It must be called before the budget is used.
 func (b *Budget) AddEvictor(evictor Evictor) { b.evictors = append(b.evictors, evictor) }
 
+// AddDropper adds a set of data that may be dropped. It must be called before the budget is used.
+func (b *Budget) AddDropper(dropper Dropper) {
+	if b != nil {
+		b.droppers = append(b.droppers, dropper)
+	}
+}
+
+// drop releases some data that can be obtained again. It returns false if there is none.
+func (b *Budget) drop() bool {
+	for _, dropper := range b.droppers {
+		if dropper.Drop() {
+			return true
+		}
+	}
+	return false
+}
+
 // Used returns the bytes of all accounts.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -133,6 +157,24 @@
 // ReserveBulk is Reserve for large amounts. It leaves a part of the budget to small ones.
 func (a *Account) ReserveBulk(bytes int) bool { return a.add(int64(bytes), bulkFraction, false) }
 
+// ReserveUpTo adds bytes up to the given fraction of the limit, and so leaves the rest of the budget to others. To make room it drops data,
+// but ends no connection. It returns false, and adds nothing, if there is no room.
+func (a *Account) ReserveUpTo(fraction float64, bytes int) bool {
+	if a == nil || a.budget == nil || bytes <= 0 {
+		return true
+	}
+	return !a.addOrDrop(int64(bytes), fraction)
+}
+
+// addOrDrop adds bytes up to a fraction of the limit, and drops data for them. It reports whether they are over the fraction.
+func (a *Account) addOrDrop(bytes int64, fraction float64) (over bool) {
+	over = a.addLocked(bytes, fraction, false)
+	for over && a.budget.drop() {
+		over = a.addLocked(bytes, fraction, false)
+	}
+	return over
+}
+
 // Force adds bytes to the account even if the budget is exceeded. It is meant for memory that is in use already.
 func (a *Account) Force(bytes int) { a.add(int64(bytes), 1, true) }
 
@@ -141,11 +183,9 @@
 	if a == nil || a.budget == nil || bytes <= 0 {
 		return true
 	}
-	over := a.addLocked(bytes, fraction, force)
-	if over && force {
-		a.budget.metrics.Add(counterOverrun, 1)
-	}
-	if over && !force {
+	if force {
+		a.force(bytes)
+	} else if a.addOrDrop(bytes, fraction) {
 		a.budget.metrics.Add(counterRefused, 1)
 		a.budget.relieve(bytes, fraction) // for the next attempt
 		return false
@@ -154,6 +194,17 @@
 	return true
 }
 
+// force adds bytes, and drops data while the budget is exceeded.
+func (a *Account) force(bytes int64) {
+	if !a.addLocked(bytes, 1, true) {
+		return
+	}
+	for a.budget.isOver(0, 1) && a.budget.drop() {
+		continue
+	}
+	a.budget.metrics.Add(counterOverrun, 1)
+}
+
 // addLocked adds bytes, unless they are over the fraction of the limit and force is not set. It reports whether they are over it.
 func (a *Account) addLocked(bytes int64, fraction float64, force bool) (over bool) {
 	b := a.budget
@@ -176,6 +227,18 @@
 	a.changeLocked(-min(int64(bytes), a.bytes))
 }
 
+// Resize makes the account have the given number of bytes, even if the budget is exceeded.
+func (a *Account) Resize(bytes int) {
+	if a == nil || a.budget == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	change := bytes - int(a.bytes)
+	a.budget.mu.Unlock()
+	a.Force(change)
+	a.Release(-change)
+}
+
 // Close removes all bytes from the account. Bytes that are added later are not counted.
 func (a *Account) Close() {
 	if a == nil || a.budget == nil {
--- a/internal/memorybudget/budget_test.go
+++ b/internal/memorybudget/budget_test.go
@@ -111,3 +111,52 @@
 		account.Close()
 	}
 }
+
+// fakeData is data of one account that can be obtained again.
+type fakeData struct {
+	account *Account
+	sizes   []int
+}
+
+func (f *fakeData) Drop() bool {
+	if len(f.sizes) == 0 {
+		return false
+	}
+	f.account.Release(f.sizes[0])
+	f.sizes = f.sizes[1:]
+	return true
+}
+
+// Guards against bytes that are refused, and connections that are ended, although data that can be obtained again takes the memory.
+func TestBudgetDropsDataBeforeItRefuses(t *testing.T) {
+	counters := metrics.New()
+	b, conns := New(100, counters), &fakeConns{}
+	kept, other := b.NewAccount(), b.NewAccount()
+	data := &fakeData{kept, []int{30, 30, 10}}
+	b.AddDropper(data)
+	conns.accounts = append(conns.accounts, kept)
+	kept.Reserve(70)
+	if !other.ReserveUpTo(0.5, 15) || len(data.sizes) != 1 {
+		t.Errorf("%v is left of the data, want the first two dropped, and 15 bytes reserved of 50", data.sizes)
+	}
+	other.Force(90)
+	if len(data.sizes) != 0 {
+		t.Errorf("%v is left of the data beyond the limit, want it dropped", data.sizes)
+	}
+	checkUsed(t, b, 105)
+	if other.Reserve(1) {
+		t.Error("bytes beyond the limit were reserved, want them refused")
+	}
+}
+
+func TestAccountIsResized(t *testing.T) {
+	b := New(100, metrics.New())
+	account := b.NewAccount()
+	for _, bytes := range []int{10, 150, 150, 3, 0} {
+		account.Resize(bytes)
+		checkUsed(t, b, int64(bytes))
+	}
+	account.Close()
+	account.Resize(5)
+	checkUsed(t, b, 0)
+}
--- a/internal/testbed/chaos/overloadfaults.go
+++ b/internal/testbed/chaos/overloadfaults.go
@@ -35,6 +35,7 @@
 	{"flood", 2, floodGateway},
 	{"leave", 2, leaveGateway},
 	{"signals", 2, signalGateway},
+	{"stall", 2, stallDevices},
 }
 
 // injectOverload overloads random gateways until the run ends. Overloads overlap with each other and with the faults. They are drawn
@@ -111,6 +112,37 @@
 	overload.Flood(h.floodTarget(g, options.Kind), options, seed, stop)
 }
 
+// Bounds of the devices whose links stall, and of their reads.
+const (
+	minStalledDevices, maxStalledDevices = 20, 200
+	maxStalledReads                      = 8
+	movingDevices                        = 4
+)
+
+// stallDevices lets the links of devices of a gateway stall while they read large responses. A gateway without devices gets a crowd.
+func stallDevices(h *harness, g *gateway, random *rand.Rand, stop <-chan struct{}) {
+	if g.edge == nil {
+		crowdGateway(h, g, random, stop)
+		return
+	}
+	options := overload.StallOptions{Protocol: overload.DeviceProtocol(random.IntN(int(overload.DeviceProtocolCount))),
+		Devices: minStalledDevices + random.IntN(maxStalledDevices-minStalledDevices+1), Reads: 1 + random.IntN(maxStalledReads),
+		Stall: randomDuration(random, minOverloadTime, maxOverloadTime), Moving: movingDevices}
+	h.log.Printf("(a stall at %s: %v)", g.Name, options)
+	result := overload.StalledReaders(h.stallTarget(g, options.Protocol), options, random.Uint64(), stop)
+	h.log.Printf("(the stall at %s has ended: %+v)", g.Name, result)
+}
+
+// stallTarget returns what devices read from a gateway.
+func (h *harness) stallTarget(g *gateway, protocol overload.DeviceProtocol) overload.Target {
+	target := h.overloadTarget(g)
+	target.Addr = g.edge.coap
+	if protocol == overload.HTTPDevices {
+		target.Addr = g.edge.http
+	}
+	return target
+}
+
 // besideFloodDeadlinesMs are the remaining times of the requests of clients beside a flood.
 var besideFloodDeadlinesMs = []int{300, 400, 500, 650, 1000, 1400}
 
