Call discovery only once all parts have started

The watch was opened before the listeners, and its first call can fail sooner than a listener. A gateway that cannot start now prints its error alone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,9 +78,6 @@
 	go g.loop.Run(g.ctx)
 	g.watcher.NormalizeStartTimes(g.cfg.KnownEndpoints)
 	g.loop.UpdateEndpoints(g.cfg.KnownEndpoints)
-	if !g.cfg.Settings.PollEndpoints { // if the list is polled, the scheduler opens the watch
-		g.watcher.KeepOpen(g.ctx)
-	}
 	g.Metrics.Add(counterInvalidEntries, int64(g.cfg.InvalidKnownEntries))
 	g.memory = startMemoryMonitor(g, g.cfg)
 	g.processor = startProcessorMonitor(g)
@@ -96,6 +93,11 @@
 			return err
 		}
 	}
+	// Discovery is called only now, so that a gateway that cannot start prints its error and nothing else. If the list is polled, the
+	// scheduler opens the watch.
+	if !g.cfg.Settings.PollEndpoints {
+		g.watcher.KeepOpen(g.ctx)
+	}
 	return nil
 }
 
