Count handles of file clients, and wait for file clients whose links stall

A file client whose link stalled for over 2.5 s with READs on their way was disconnected, and others beside it as well: "connection lost" in TestStalledReaderIsServedWhenItReadsOn with the code before.

Change: a handle takes 1 KiB, and handles of one file share its path; all handles take a quarter of the memory for clients at most, beyond which an OPEN gets "busy, nothing was done". The recorded changes of files are counted, and bounded by 4 MiB as well as by their number. A packet of a client that has unanswered commands waits until the client has read their responses, and gets memory up to half of the budget, so that the first commands of others find room; the wait of 2.5 s begins after that.

Why it works: a client that reads nothing waits for itself, and what it holds leaves half of the budget to others.

Evidence: TestHandlesStayWithinMemory (2,000 handles open, none refused and none counted) and TestStalledReaderIsServedWhenItReadsOn failed with the code before this commit and pass now, one run each.

--- a/internal/frontend/sftpserver/change.go
+++ b/internal/frontend/sftpserver/change.go
@@ -59,6 +59,9 @@
 		writeIdentity: writeIdentity{firstReceivedMs: nowMs}, emptiesFile: true}
 }
 
+// memoryBytes returns the memory that the change takes while it is recorded.
+func (c *change) memoryBytes() int { return changeBytes + len(c.path) }
+
 // emptiesFile reports whether an OPEN with the flags leaves an empty file: it truncates the file, or succeeds only if there was none.
 func emptiesFile(flags uint32) bool {
 	return flags&(sftpwire.FlagTruncate|sftpwire.FlagExclusive) != 0
--- a/internal/frontend/sftpserver/file.go
+++ b/internal/frontend/sftpserver/file.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 
 	"github.com/pkg/sftp"
 
@@ -25,6 +26,9 @@
 	path     string
 	flags    uint32
 	openedMs float64
+	// isCounted says that the handle is in Server.handles, until closed is set.
+	isCounted bool
+	closed    atomic.Bool
 }
 
 // newOpenFile returns a handle whose opening time is the current time.
@@ -141,6 +145,9 @@
 // not recorded as closed.
 func (f *openFile) Close() error {
 	server := f.handler.server
+	if f.isCounted && !f.closed.Swap(true) {
+		server.handles.close(f.handler.account, f.path)
+	}
 	if server.RetentionMs > 0 && !f.handler.isDisconnected() {
 		server.history.fileClosed(f, server.Clock.NowMs())
 	}
--- a/internal/frontend/sftpserver/filehistory.go
+++ b/internal/frontend/sftpserver/filehistory.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"sync"
+
+	"gaugerelay/internal/memorybudget"
 )
 
 // SFTP has no identifier for a WRITE. A WRITE is a retransmission of an earlier WRITE if that has the same client, path, offset and
@@ -23,12 +25,21 @@
 // take effect.
 const maxRecordedChanges = 4096
 
+const (
+	// maxRecordedBytes bounds the memory of these changes.
+	maxRecordedBytes = 4 << 20
+	// changeBytes is the memory of a change without its path.
+	changeBytes = 512
+)
+
 // fileHistory holds the recent changes of all files, whether or not the connection of a handle is still open: a connection may
 // appear to be open long after the client has abandoned it. The zero value is an empty history. The methods may be called from any
 // goroutine.
 type fileHistory struct {
 	mu      sync.Mutex
-	order   list.List // the *change of all recorded changes, in the order of their arrival
+	memory  *memorybudget.Account // account of the changes; nil: they are not counted
+	bytes   int                   // bytes of all recorded changes
+	order   list.List             // the *change of all recorded changes, in the order of their arrival
 	byPath  map[string][]*list.Element
 	events  uint64 // number of events so far: arrivals of changes and of their responses
 	evicted uint64 // latest event at which a change had ended that was removed because the history was full
@@ -159,27 +170,30 @@
 	return false
 }
 
-// addLocked adds a change that was received at nowMs. It evicts an earlier one if there are then more than maxRecordedChanges. The
-// caller holds h.mu.
+// addLocked adds a change that was received at nowMs. It evicts earlier ones if there are then more than maxRecordedChanges, or they take
+// more than maxRecordedBytes. The caller holds h.mu.
 func (h *fileHistory) addLocked(c *change, nowMs float64) {
 	if h.byPath == nil {
 		h.byPath = map[string][]*list.Element{}
 	}
 	h.byPath[c.path] = append(h.byPath[c.path], h.order.PushBack(c))
-	if h.order.Len() > maxRecordedChanges {
-		h.evictLocked(nowMs)
+	h.bytes += c.memoryBytes()
+	h.memory.Force(c.memoryBytes())
+	for (h.order.Len() > maxRecordedChanges || h.bytes > maxRecordedBytes) && h.evictLocked(nowMs) {
+		continue
 	}
 }
 
-// evictLocked removes the oldest change that can no longer take effect, if there is one. The caller holds h.mu.
-func (h *fileHistory) evictLocked(nowMs float64) {
+// evictLocked removes the oldest change that can no longer take effect. It returns false if there is none. The caller holds h.mu.
+func (h *fileHistory) evictLocked(nowMs float64) bool {
 	for element := h.order.Front(); element != nil; element = element.Next() {
 		if c := element.Value.(*change); c.endedMs <= nowMs {
 			h.evicted = max(h.evicted, c.endedEvent)
 			h.removeLocked(element)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // removeExpiredLocked removes the changes that can no longer take effect, and have not been able to for maxAgeMs. The caller holds
@@ -196,6 +210,8 @@
 // removeLocked removes a change. The caller holds h.mu.
 func (h *fileHistory) removeLocked(element *list.Element) {
 	removed := h.order.Remove(element).(*change)
+	h.bytes -= removed.memoryBytes()
+	h.memory.Release(removed.memoryBytes())
 	remaining := h.byPath[removed.path][:0]
 	for _, other := range h.byPath[removed.path] {
 		if other != element {
--- a/internal/frontend/sftpserver/handler.go
+++ b/internal/frontend/sftpserver/handler.go
@@ -12,6 +12,7 @@
 	"gaugerelay/internal/clock"
 	"gaugerelay/internal/frontend"
 	"gaugerelay/internal/lifecycle"
+	"gaugerelay/internal/memorybudget"
 	"gaugerelay/internal/sftpwire"
 )
 
@@ -21,6 +22,8 @@
 // handler handles the commands of one connection. The library calls it concurrently from several goroutines.
 type handler struct {
 	server *Server
+	// account is that of the connection.
+	account *memorybudget.Account
 	// clientHost is the host of the client's address. It identifies the client across its connections.
 	clientHost string
 	// disconnected is closed when the client has disconnected.
@@ -75,14 +78,23 @@
 	if r.Pflags().Append { // a retry could append the data twice, since an append has no offset
 		return nil, errAppending
 	}
+	sharedPath, ok := h.server.handles.open(h.account, r.Filepath, h.server.MaxHandleBytes)
+	if !ok {
+		h.server.Metrics.Add(opensWithoutMemory, 1)
+		return nil, rejectedError{noHandleRetryAfterMs}
+	}
+	r.Filepath = sharedPath // the library holds the request as long as the handle
 	command := &sftpwire.Command{Op: sftpwire.OpOpen, Flags: r.Flags}
 	if r.Flags&^sftpwire.FlagRead != 0 {
 		command.UploadKey = newUploadKey()
 	}
-	if err := h.executeOpen(r.Filepath, command); err != nil {
+	if err := h.executeOpen(sharedPath, command); err != nil {
+		h.server.handles.close(h.account, sharedPath)
 		return nil, err
 	}
-	return newOpenFile(h, r.Filepath, r.Flags), nil
+	file := newOpenFile(h, sharedPath, r.Flags)
+	file.isCounted = true
+	return file, nil
 }
 
 // executeOpen executes an OPEN. It records one that empties the file, since a WRITE like one from before it is not a retransmission.
--- a/internal/frontend/sftpserver/memory.go
+++ b/internal/frontend/sftpserver/memory.go
@@ -21,6 +21,9 @@
 	// memoryWait is how long a packet waits for memory before its connection is closed, and memoryPoll the time between two attempts.
 	memoryWait = 2500 * time.Millisecond
 	memoryPoll = 10 * time.Millisecond
+	// furtherFraction is the fraction of the memory for clients up to which a connection gets memory for a packet while it has commands
+	// without a response. The rest is for the first commands of others.
+	furtherFraction = 0.5
 )
 
 var errNoMemory = errors.New("no memory for the next SFTP packet")
@@ -30,6 +33,7 @@
 type packetMemory struct {
 	account *memorybudget.Account
 	metrics *metrics.Registry
+	ended   <-chan struct{} // closed when the client has disconnected
 
 	mu        sync.Mutex
 	sizes     []int     // bytes reserved for each packet without a response, oldest first
@@ -42,7 +46,7 @@
 }
 
 // received reserves memory for the packet whose header has just arrived, if one has. While there is none, it waits, so that the client is
-// slowed down, for at most memoryWait. bytes is the number of bytes that were just read; they belong to one packet, since the library
+// slowed down. It waits for at most memoryWait after the client has got the responses to its earlier commands. bytes is the number of bytes that were just read; they belong to one packet, since the library
 // reads the length of a packet first.
 func (m *packetMemory) received(tracker *packetTracker, bytes int) error {
 	m.recordArrival(tracker, bytes)
@@ -79,15 +83,34 @@
 	}
 }
 
-// reserve reserves memory, or waits for it. It returns false if there is none in time, or if the connection is evicted meanwhile: the others
-// get its memory only after that.
+// reserve reserves memory, or waits for it. It returns false if there is none in time, or if the connection is evicted or ends meanwhile: the
+// others get its memory only after that. A connection whose client does not read its responses waits for the client.
 func (m *packetMemory) reserve(bytes int) bool {
-	for waitUntil := time.Now().Add(memoryWait); !m.account.ReserveBulk(bytes); time.Sleep(memoryPoll) {
+	waitUntil := time.Now().Add(memoryWait)
+	for {
+		isWaiting := m.hasUnanswered()
+		if isWaiting {
+			waitUntil = time.Now().Add(memoryWait)
+		}
+		if isWaiting && m.account.ReserveUpTo(furtherFraction, bytes) || !isWaiting && m.account.ReserveBulk(bytes) {
+			return true
+		}
 		if m.isEvicted() || time.Now().After(waitUntil) {
 			return false
 		}
+		select {
+		case <-m.ended:
+			return false
+		case <-time.After(memoryPoll):
+		}
 	}
-	return true
+}
+
+// hasUnanswered reports whether packets with memory have no response yet.
+func (m *packetMemory) hasUnanswered() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.sizes) > 0
 }
 
 func (m *packetMemory) isEvicted() bool {
--- a/internal/frontend/sftpserver/server.go
+++ b/internal/frontend/sftpserver/server.go
@@ -47,6 +47,7 @@
 	commandsMalformed      = "file_commands_malformed"
 	connectionsEvicted     = "file_connections_evicted"
 	connectionsTooMuchWork = "file_connections_too_much_work"
+	opensWithoutMemory     = "file_opens_without_memory"
 	packetsWithoutMemory   = "file_packets_without_memory"
 	writesRejoined         = "file_writes_rejoined"
 	writesNotRejoined      = "file_writes_not_rejoined"
@@ -75,6 +76,8 @@
 	Roots                 []Root
 	// Shards is the number of shards. Each file is assigned to a shard by a hash of its path.
 	Shards int
+	// MaxHandleBytes bounds the memory of the open handles of all connections, in bytes. 0 means that only Server.Memory bounds it.
+	MaxHandleBytes int
 	// MaxUnits bounds the size of a request, in units.
 	MaxUnits float64
 	// RetentionMs is how long after its deduplication window a WRITE can still be recognized as a retransmission when the
@@ -98,6 +101,7 @@
 
 	serving sync.WaitGroup // goroutines that run serveConn
 	history fileHistory
+	handles handleTable
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
@@ -119,6 +123,7 @@
 	// netutil.LimitListener is not suitable: it hides the methods of *net.TCPConn that are needed to close only the sending
 	// side and to detect that the client has closed the connection.
 	slots := make(chan struct{}, s.MaxConns)
+	s.openAccounts()
 	for {
 		slots <- struct{}{}
 		accepted, err := listener.Accept()
@@ -133,6 +138,15 @@
 	}
 }
 
+// openAccounts opens the accounts of what is kept for all connections together, unless that has been done.
+func (s *Server) openAccounts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handles.memory == nil {
+		s.handles.memory, s.history.memory = s.Memory.NewAccount(), s.Memory.NewAccount()
+	}
+}
+
 // Shutdown closes idle connections, answers the commands that the other connections have received, and waits until all connections
 // have ended. The caller must close the listener first.
 func (s *Server) Shutdown() { s.endConns((*conn).stopReading) }
@@ -150,6 +164,10 @@
 	}
 	s.mu.Unlock()
 	s.serving.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handles.memory.Close()
+	s.history.memory.Close()
 }
 
 // serveConn serves a connection until it ends.
@@ -158,7 +176,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c := newConn(accepted, cancel)
-	c.memory.account, c.memory.metrics = s.Memory.NewAccount(), s.Metrics
+	c.memory.account, c.memory.metrics, c.memory.ended = s.Memory.NewAccount(), s.Metrics, ctx.Done()
 	c.memory.account.Force(connBytes)
 	defer c.memory.account.Close()
 	c.work = s.Work.Open(accepted.RemoteAddr())
@@ -169,6 +187,7 @@
 	clientHost, _, _ := net.SplitHostPort(accepted.RemoteAddr().String()) // "" if the address has no port
 	h := &handler{
 		server:       s,
+		account:      c.memory.account,
 		clientHost:   clientHost,
 		disconnected: ctx.Done(),
 		peerClosed:   func() bool { return socketstate.PeerClosed(accepted) },
--- a/internal/gateway/sftpfrontend.go
+++ b/internal/gateway/sftpfrontend.go
@@ -10,6 +10,9 @@
 	"gaugerelay/internal/upstream/sftpclient"
 )
 
+// handleMemoryFraction is the fraction of the memory for clients that open handles of file clients may take.
+const handleMemoryFraction = 0.25
+
 // sftpFrontend serves file commands. It has its own client for the servers.
 type sftpFrontend struct {
 	noopComponent
@@ -30,7 +33,8 @@
 	f.server = &sftpserver.Server{Loop: g.loop, Upstream: f.upstream, Clock: g.Clock, Metrics: g.Metrics, Memory: g.clientMemory,
 		Work: g.clientWork, Options: sftpserver.Options{
 			MaxConns: options.MaxConns, UnitBytes: options.UnitBytes, ReadClass: options.ReadClass, WriteClass: options.WriteClass,
-			Shards: g.cfg.Settings.Shards, MaxUnits: g.cfg.Settings.MaxUnits}}
+			Shards: g.cfg.Settings.Shards, MaxUnits: g.cfg.Settings.MaxUnits,
+			MaxHandleBytes: int(handleMemoryFraction * float64(clientMemoryLimit(g.cfg)))}}
 	g.clientMemory.AddEvictor(f.server)
 	if devices != nil {
 		f.server.RetentionMs = devices.Exchanges.RetentionMs
