--- a/internal/frontend/httpserver/framing_test.go
+++ b/internal/frontend/httpserver/framing_test.go
@@ -1,9 +1,11 @@
 package httpserver
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"regexp"
 	"strings"
 	"sync/atomic"
@@ -49,7 +51,7 @@
 	}
 	_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
 	got, err := io.ReadAll(client)
-	if err, ok := err.(net.Error); ok && err.Timeout() {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Fatalf("the server does not close the connection; received %.80q", got)
 	}
 	return string(got)
--- a/internal/frontend/sftpserver/stall_test.go
+++ b/internal/frontend/sftpserver/stall_test.go
@@ -122,7 +122,9 @@
 		if data, err := io.ReadAll(file); err != nil || len(data) != 32<<10 {
 			t.Fatalf("a client beside the stalled one read %d bytes and error %v", len(data), err)
 		}
-		file.Close()
+		if err := file.Close(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if used := g.server.Memory.Used(); used > limit {
 		t.Errorf("%d bytes are in use, want at most %d", used, limit)
