Look less often for memory for dropped responses, and keep fewer behind others

Each waiting connection looked for memory every 5 or 20 ms, on one core that the responses need.

Change: every 25 and 100 ms, and responses behind others on a connection take up to 0.3 of the budget in place of 0.5, since each that is held stalls with the one before it.

--- a/internal/frontend/responsebuffer/buffer.go
+++ b/internal/frontend/responsebuffer/buffer.go
@@ -26,7 +26,7 @@
 // requests of others, and for peers that are active.
 const (
 	// queuedFraction applies to a body behind other responses to the same peer.
-	queuedFraction = 0.5
+	queuedFraction = 0.3
 	// idleFraction applies to a body that can be written at once to a peer that is not active.
 	idleFraction = 0.6
 	// activeFraction applies to one that can be written at once to an active peer.
@@ -48,8 +48,8 @@
 	maxDropsWhileRead = 2
 	// fetchInterval is the time between two attempts to get memory for a body that is to be fetched again, and turnInterval the time
 	// after which a peer that waits for its turn is looked at again.
-	fetchInterval = 5 * time.Millisecond
-	turnInterval  = 20 * time.Millisecond
+	fetchInterval = 25 * time.Millisecond
+	turnInterval  = 100 * time.Millisecond
 	// maxUnservedFetches is how many other responses than served ones a repeated request may get before its peer gets the last of them. A
 	// peer that has read a part of the body can get no other response, so that its request is repeated until its time is over.
 	maxUnservedFetches = 3
