Bound the wait for a dropped response, and wake it when memory is released

Cause: a response that was dropped waited for memory without an end of its own, and looked for it every 25 ms only, so that few bodies passed where there is room for few.

Change: the wait ends at the device's deadline with "no answer in time", and one that waits for memory is woken when a body is released.

--- a/internal/frontend/coapserver/stall_test.go
+++ b/internal/frontend/coapserver/stall_test.go
@@ -239,3 +239,26 @@
 		server.Shutdown()
 	})
 }
+
+// Guards against a device that waits for ever for a response that was dropped and for which there is never memory.
+func TestDroppedResponseTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loop := &fakeLoop{onSubmit: respondLarge}
+		server := newStallServer(loop, 1, 1)
+		server.Memory.NewAccount().Force(2 * len(largeBody(0)))
+		device, link := connectStalling(t, server)
+		close(link.moving)
+		start := time.Now()
+		device.send(readOf(1, 1)) // has 2 s left
+		device.expect(codes.GatewayTimeout)
+		if waited := time.Since(start); waited < 1900*time.Millisecond || waited > 2100*time.Millisecond {
+			t.Errorf("the device got an error after %v, want 2 s", waited)
+		}
+		synctest.Wait()
+		if submitted, canceled, written := loop.counts(); submitted != 1 || canceled != 1 || written != 0 {
+			t.Errorf("%d requests were submitted, %d canceled and %d responses written, want 1, 1 and 0", submitted, canceled, written)
+		}
+		server.Close()
+		server.Shutdown()
+	})
+}
--- a/internal/frontend/coapserver/write.go
+++ b/internal/frontend/coapserver/write.go
@@ -1,6 +1,7 @@
 package coapserver
 
 import (
+	"context"
 	"errors"
 	"os"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
+	"gaugerelay/internal/clock"
 	"gaugerelay/internal/coapwire"
 	"gaugerelay/internal/frontend/responsebuffer"
 	"gaugerelay/internal/lifecycle"
@@ -137,12 +139,15 @@
 // writeBody writes the message for a served response, or the one for the response that its request gets now if the served one was
 // dropped.
 func (c *conn) writeBody(r *queuedResponse, idleTimeout time.Duration) (complete bool, err error) {
+	// The context bounds only the time in which a dropped response is fetched again.
+	ctx, cancel := context.WithTimeout(c.ctx, clock.Duration(max(0, r.pending.deadlineMs-c.server.Clock.NowMs())))
+	defer cancel()
 	var notServed *responsebuffer.NotServedError
-	err = r.body.Await(c.ctx)
+	err = r.body.Await(ctx)
 	switch {
 	case errors.As(err, &notServed):
 		return false, c.writeBytes(coapwire.Encode(c.composeOther(r.pending, notServed.Response)), idleTimeout)
-	case errors.Is(err, responsebuffer.ErrNoResponse):
+	case errors.Is(err, responsebuffer.ErrNoResponse), errors.Is(err, context.DeadlineExceeded):
 		timeout := textMessage(r.pending.token, codes.GatewayTimeout, "no answer in time")
 		return false, c.writeBytes(coapwire.Encode(timeout), idleTimeout)
 	case err != nil:
@@ -152,16 +157,16 @@
 	if served.end == served.start {
 		return served.complete, c.writeBytes(coapwire.Encode(served.head), idleTimeout)
 	}
-	return served.complete, c.writePayload(r.body, served, idleTimeout)
+	return served.complete, c.writePayload(ctx, r.body, served, idleTimeout)
 }
 
 // writePayload writes a message whose payload is a part of a body. It holds no more than one chunk of it, so that the body can be dropped.
-func (c *conn) writePayload(body *responsebuffer.Buffer, served servedMessage, idleTimeout time.Duration) error {
+func (c *conn) writePayload(ctx context.Context, body *responsebuffer.Buffer, served servedMessage, idleTimeout time.Duration) error {
 	head := coapwire.EncodeHead(served.head, served.end-served.start)
 	chunk := make([]byte, len(head)+min(writeChunkSize, served.end-served.start))
 	filled := copy(chunk, head)
 	for offset := served.start; offset < served.end; {
-		n, err := body.ReadAt(c.ctx, chunk[filled:min(len(chunk), filled+served.end-offset)], offset)
+		n, err := body.ReadAt(ctx, chunk[filled:min(len(chunk), filled+served.end-offset)], offset)
 		if err != nil {
 			return err
 		}
--- a/internal/frontend/httpserver/device.go
+++ b/internal/frontend/httpserver/device.go
@@ -99,15 +99,18 @@
 // loop whether the response was written completely. If the response was dropped because memory is short, and the request now gets another
 // one, that is written.
 func (h *Handler) writeDeviceResponse(w http.ResponseWriter, r *http.Request, pending *pendingRequest, response lifecycle.Response) {
-	request, held := pending.Request, h.holdResponse(r, pending, response)
+	// The context bounds only the time in which a dropped response is fetched again.
+	ctx, cancel := context.WithTimeout(r.Context(), clock.Duration(max(0, pending.deadlineMs-h.Clock.NowMs())))
+	defer cancel()
+	request, held := pending.Request, h.holdResponse(ctx, r.Method, pending, response)
 	defer held.release()
 	var notServed *responsebuffer.NotServedError
-	switch err := held.body.Await(r.Context()); {
+	switch err := held.body.Await(ctx); {
 	case errors.As(err, &notServed):
 		h.Loop.Cancel(request)
 		h.writeResponse(w, r, pending, notServed.Response)
 		return
-	case errors.Is(err, responsebuffer.ErrNoResponse):
+	case errors.Is(err, responsebuffer.ErrNoResponse), errors.Is(err, context.DeadlineExceeded):
 		h.Loop.Cancel(request)
 		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
 		return
@@ -151,21 +154,21 @@
 
 // heldResponse is the response to a device while it is being written. It implements io.ReaderAt.
 type heldResponse struct {
-	ctx     context.Context // context of the HTTP request
+	ctx     context.Context // bounds the time in which the body is fetched again
 	account *memorybudget.Account
 	body    *responsebuffer.Buffer
 	readErr error // error of the last ReadAt
 }
 
 // holdResponse takes over a served response until it has been written.
-func (h *Handler) holdResponse(r *http.Request, pending *pendingRequest, response lifecycle.Response) *heldResponse {
-	held := &heldResponse{ctx: r.Context()}
-	if conn := clientConnOf(r.Context()); conn != nil {
+func (h *Handler) holdResponse(ctx context.Context, method string, pending *pendingRequest, response lifecycle.Response) *heldResponse {
+	held := &heldResponse{ctx: ctx}
+	if conn := clientConnOf(ctx); conn != nil {
 		held.account = conn.tracker.Budget.NewAccount()
 	}
 	var fetch responsebuffer.FetchFunc
 	class := requestparse.FindClass(h.Settings, pending.Class)
-	if r.Method == http.MethodGet && class != nil && class.Idempotency == scheduler.Idempotent {
+	if method == http.MethodGet && class != nil && class.Idempotency == scheduler.Idempotent {
 		fetcher := responsebuffer.Fetcher{Set: h.Responses, Loop: h.Loop, Clock: h.Clock}
 		fetch = func(ctx context.Context) (lifecycle.Response, error) {
 			return fetcher.Fetch(ctx, pending.Request, pending.deadlineMs)
--- a/internal/frontend/responsebuffer/buffer.go
+++ b/internal/frontend/responsebuffer/buffer.go
@@ -90,6 +90,8 @@
 	lastID   atomic.Uint64 // number of the last such id
 	// turn has an element while a body for an inactive peer waits for memory, so that one of them asks for it at a time.
 	turn chan struct{}
+	// freed has an element if a body has released its memory since a Buffer last looked for some.
+	freed chan struct{}
 
 	mu sync.Mutex
 	// Buffers whose bodies may be dropped, by whether any of the body has been read, least recently read or added first.
@@ -99,7 +101,7 @@
 // NewSet returns an empty set whose bodies are dropped when the budget is short. A nil budget has no limit. idPrefix begins the ids of
 // requests that are executed again; it must differ from that of every other gateway and of every earlier start of this gateway.
 func NewSet(budget *memorybudget.Budget, idPrefix string, registry *metrics.Registry) *Set {
-	s := &Set{metrics: registry, idPrefix: idPrefix, turn: make(chan struct{}, 1)}
+	s := &Set{metrics: registry, idPrefix: idPrefix, turn: make(chan struct{}, 1), freed: make(chan struct{}, 1)}
 	budget.AddDropper(s)
 	return s
 }
@@ -327,13 +329,14 @@
 		}
 	}()
 	for !b.reserve(size, hasTurn) {
-		wait, turn := fetchInterval, (chan struct{})(nil)
+		wait, turn, freed := fetchInterval, (chan struct{})(nil), b.set.freed
 		if !hasTurn && !b.isActive() {
-			wait, turn = turnInterval, b.set.turn
+			wait, turn, freed = turnInterval, b.set.turn, nil
 		}
 		select {
 		case turn <- struct{}{}:
 			hasTurn = true
+		case <-freed:
 		case <-time.After(wait):
 		case <-ctx.Done():
 			return ctx.Err()
@@ -412,4 +415,8 @@
 func (b *Buffer) discardLocked() {
 	b.body, b.isHeld = nil, false
 	b.account.Release(b.size)
+	select {
+	case b.set.freed <- struct{}{}:
+	default:
+	}
 }
